--- a/crates/daemons/src/measure/core.rs
+++ b/crates/daemons/src/measure/core.rs
@@ -145,6 +145,7 @@
         deadline: None,
         least_coverage: None,
         body: Arc::from(&b"{}"[..]),
+        forward: None,
     };
     let (mut query, mut steps) = Query::start(Arc::clone(view), tier, request, now)?;
     let later = now.after(Duration::from_micros(500));
@@ -181,6 +182,7 @@
             epoch: part.epoch,
             range: view.catalog.shards[leaf.shard].range,
             body: Arc::clone(body),
+            origin: None,
         };
         Some(Reply {
             attempt: call.attempt,
--- a/crates/daemons/tests/relay/bench.rs
+++ b/crates/daemons/tests/relay/bench.rs
@@ -240,6 +240,7 @@
 /// Names an outcome in a word or two.
 pub fn short(outcome: &Outcome) -> String {
     match outcome {
+        Outcome::Failed(failed) => format!("failed with {}", failed.origin.status),
         Outcome::Rows(rows) => format!("rows {}", rows.range),
         Outcome::NotRun(why) => format!("not run: {why:?}"),
         Outcome::Unknown(why) => format!("unknown: {why:?}"),
--- a/crates/guavacourse/src/edge/entry/action_run.rs
+++ b/crates/guavacourse/src/edge/entry/action_run.rs
@@ -8,6 +8,7 @@
     channel::{Receiver, Sender, unbounded},
 };
 
+use super::engine::Calls;
 use super::traffic::Traffic;
 use crate::modules::{
     action::{ATTEMPTS_MAX, Action, ActionRequest, Step, plan},
--- a/crates/guavacourse/src/edge/entry/callers.rs
+++ b/crates/guavacourse/src/edge/entry/callers.rs
@@ -11,7 +11,6 @@
 
 use http_types::{Method, Request, Response};
 use serde::Serialize;
-use serde_json::value::RawValue;
 
 use super::{
     actions,
@@ -20,7 +19,7 @@
 use crate::{
     edge::{http::json_response, metrics::Metrics},
     modules::{
-        answer::{AnswerBody, Failure, Reason, Refusal},
+        answer::{AnswerBody, Content, Failure, Reason, Refusal},
         burn::KindBurn,
         coverage::Coverage,
         members::Member,
@@ -98,7 +97,7 @@
 /// Body of a query's answer.
 #[derive(Debug, Serialize)]
 struct QueryBody<'a> {
-    rows: &'a RawValue,
+    rows: &'a Content,
     index_version: u64,
     partition_epoch: u64,
     revision: u64,
@@ -185,6 +184,7 @@
         deadline: deadline(request)?,
         least_coverage: least_coverage(request)?,
         body: Arc::from(body(request).await?),
+        forward: None,
     };
     let answer = match traffic.run_query(request).await {
         Ok(answer) => answer,
--- a/crates/guavacourse/src/edge/entry/links.rs
+++ b/crates/guavacourse/src/edge/entry/links.rs
@@ -16,7 +16,7 @@
     channel::{Receiver, Sender, unbounded},
 };
 
-use super::session::Session;
+use super::{engine::Calls, session::Session};
 use crate::{
     edge::{clock::Clock, control::PeerHandle},
     modules::{
@@ -106,35 +106,6 @@
         }))
     }
 
-    /// Sends the calls of `part` to a relay. Each attempt yields exactly one
-    /// reply on `to`, unless it is cancelled first.
-    pub(crate) fn send(&self, relay: Address, part: Part, to: &Sender<Reply>) {
-        let mut waiting = self.0.waiting.borrow_mut();
-        let waiters = waiting.entry(relay).or_default();
-        waiters.extend(part.calls.iter().map(|call| (call.attempt, to.clone())));
-        drop(waiting);
-        self.post(relay, Message::Submit(part));
-    }
-
-    /// Withdraws attempts: their replies are no longer delivered.
-    pub(crate) fn cancel(&self, relay: Address, attempts: Vec<AttemptId>) {
-        let mut waiting = self.0.waiting.borrow_mut();
-        let waiters = waiting.entry(relay).or_default();
-        let open = attempts
-            .into_iter()
-            .filter(|attempt| waiters.remove(attempt).is_some())
-            .collect::<Vec<_>>();
-        drop(waiting);
-        if !open.is_empty() {
-            self.post(relay, Message::Cancel(open));
-        }
-    }
-
-    /// Tells a relay that the content it suspects ran without harm.
-    pub(crate) fn clear(&self, relay: Address, content: u64) {
-        self.post(relay, Message::Clear(content));
-    }
-
     /// Closes every session and ends its task.
     pub(crate) async fn close(&self) {
         let outboxes = self.0.outboxes.take();
@@ -167,6 +138,33 @@
     }
 }
 
+impl Calls for Links {
+    fn send(&self, relay: Address, part: Part, to: &Sender<Reply>) {
+        let mut waiting = self.0.waiting.borrow_mut();
+        let waiters = waiting.entry(relay).or_default();
+        waiters.extend(part.calls.iter().map(|call| (call.attempt, to.clone())));
+        drop(waiting);
+        self.post(relay, Message::Submit(part));
+    }
+
+    fn cancel(&self, relay: Address, attempts: Vec<AttemptId>) {
+        let mut waiting = self.0.waiting.borrow_mut();
+        let waiters = waiting.entry(relay).or_default();
+        let open = attempts
+            .into_iter()
+            .filter(|attempt| waiters.remove(attempt).is_some())
+            .collect::<Vec<_>>();
+        drop(waiting);
+        if !open.is_empty() {
+            self.post(relay, Message::Cancel(open));
+        }
+    }
+
+    fn clear(&self, relay: Address, content: u64) {
+        self.post(relay, Message::Clear(content));
+    }
+}
+
 impl Inner {
     /// Hands a reply of a relay to whoever waits for it.
     pub(super) fn settle(&self, relay: Address, reply: Reply) {
--- a/crates/guavacourse/src/edge/entry/mod.rs
+++ b/crates/guavacourse/src/edge/entry/mod.rs
@@ -5,10 +5,12 @@
 mod book;
 mod callers;
 mod claims;
+mod engine;
 mod handover;
 pub(crate) mod links;
 mod server;
 mod session;
 pub(crate) mod traffic;
 
+pub(crate) use engine::{Calls, Engine};
 pub use server::{EntryServer, RunningEntry};
--- a/crates/guavacourse/src/edge/entry/traffic.rs
+++ b/crates/guavacourse/src/edge/entry/traffic.rs
@@ -8,14 +8,11 @@
     time::Duration,
 };
 
-use futures_lite::{FutureExt, future};
-use smol::{
-    LocalExecutor, Timer,
-    channel::{Receiver, Sender, unbounded},
-};
+use smol::{LocalExecutor, channel::Receiver};
 
 use super::{
     book::Book,
+    engine::Engine,
     handover::HandoverLink,
     links::{LinkEvent, Links},
 };
@@ -27,10 +24,9 @@
     modules::{
         answer::{Answer, Refusal},
         burn::Burn,
-        call::{AttemptId, Reply},
         collections::Map,
         inventory::Address,
-        query::{Query, QueryRequest, Step},
+        query::QueryRequest,
         recent::Recent,
         tier::Tier,
         time::Time,
@@ -106,36 +102,14 @@
     ///
     /// Returns a refusal if the query cannot be planned; nothing ran.
     pub(crate) async fn run_query(&self, request: QueryRequest) -> Result<Answer, Refusal> {
-        let (to, replies) = unbounded();
-        let mut run = QueryRun {
-            traffic: self,
-            to,
-            open: Map::default(),
-            kind: None,
+        let engine = Engine {
+            clock: self.shared.clock,
+            view: &self.shared.view,
+            tier: &self.tier,
+            calls: &self.links,
+            counter: &self.shared.metrics.calls,
         };
-        let view = self.shared.view.load();
-        let now = self.now();
-        let kind = request.kind.clone();
-        let started = Query::start(Arc::clone(&view), &mut self.tier.borrow_mut(), request, now);
-        let (mut query, mut steps) = started?;
-        run.kind = Some(kind);
-        let mut seen = view;
-        loop {
-            if let Some(answer) = run.perform(steps) {
-                return Ok(answer);
-            }
-            let reply = run.wait(&replies, query.wake()).await;
-            let view = self.shared.view.load();
-            if !Arc::ptr_eq(&view, &seen) {
-                query.refresh(Arc::clone(&view));
-                seen = view;
-            }
-            let tier = &mut self.tier.borrow_mut();
-            steps = match reply {
-                Some(reply) => query.on_reply(tier, reply, self.now()),
-                None => query.on_timer(tier, self.now()),
-            };
-        }
+        engine.run(request).await
     }
 
     /// Returns the present time.
@@ -157,83 +131,5 @@
     }
 }
 
-/// One query under way, with the attempts whose replies are still open.
-struct QueryRun<'a> {
-    traffic: &'a Traffic,
-    to: Sender<Reply>,
-    open: Map<AttemptId, Address>,
-    /// Kind of the query, until it has an answer.
-    kind: Option<String>,
-}
-
-impl QueryRun<'_> {
-    /// Performs the core's steps. Returns the answer, if there is one.
-    fn perform(&mut self, steps: Vec<Step>) -> Option<Answer> {
-        for step in steps {
-            match step {
-                Step::Send { relay, part } => {
-                    let calls = part.calls.iter();
-                    self.open.extend(calls.map(|call| (call.attempt, relay)));
-                    self.count_calls(&part);
-                    self.traffic.links.send(relay, part, &self.to);
-                }
-                Step::Cancel { relay, attempts } => {
-                    for attempt in &attempts {
-                        self.open.remove(attempt);
-                    }
-                    self.traffic.links.cancel(relay, attempts);
-                }
-                Step::Clear { relay, content } => {
-                    self.traffic.links.clear(relay, content);
-                }
-                Step::Finish(answer) => {
-                    self.kind = None;
-                    return Some(*answer);
-                }
-            }
-        }
-        None
-    }
-
-    fn count_calls(&self, part: &crate::modules::call::Part) {
-        for call in &part.calls {
-            let extra = opentelemetry::KeyValue::new("extra", call.extra);
-            self.traffic.shared.metrics.calls.add(1, &[extra]);
-        }
-    }
-
-    /// Waits for a reply, at most until `wake`.
-    async fn wait(&mut self, replies: &Receiver<Reply>, wake: Time) -> Option<Reply> {
-        let reply = async { replies.recv().await.ok() };
-        let timer = async {
-            match self.traffic.shared.clock.instant(wake) {
-                Some(at) => drop(Timer::at(at).await),
-                None => future::pending().await,
-            }
-            None
-        };
-        let reply = reply.or(timer).await;
-        if let Some(reply) = &reply {
-            self.open.remove(&reply.attempt);
-        }
-        reply
-    }
-}
-
-impl Drop for QueryRun<'_> {
-    fn drop(&mut self) {
-        let mut relays: Map<Address, Vec<AttemptId>> = Map::default();
-        for (attempt, relay) in self.open.drain() {
-            relays.entry(relay).or_default().push(attempt);
-        }
-        for (relay, attempts) in relays {
-            self.traffic.links.cancel(relay, attempts);
-        }
-        if let Some(kind) = &self.kind {
-            self.traffic.tier.borrow_mut().abandoned(kind);
-        }
-    }
-}
-
 /// Longest span that a caller may ask for as a deadline.
 pub(crate) const DEADLINE_MAX: Duration = Duration::from_mins(1);
--- /dev/null
+++ b/crates/guavacourse/src/edge/gateway/protocol.rs
@@ -0,0 +1,69 @@
+//! What callers speak.
+
+use std::{fmt, time::Duration};
+
+use http_types::{Request, Response};
+
+use crate::modules::{answer::Whole, call::Forwarded};
+
+/// A caller's request.
+#[derive(Clone, Debug, Default)]
+pub struct Incoming {
+    /// Host that it names.
+    pub host: String,
+    /// Its path, without the query.
+    pub path: String,
+    /// What leaves receive.
+    pub forwarded: Forwarded,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// Time that its caller waits, if it says so.
+    pub deadline: Option<Duration>,
+}
+
+/// What a caller is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Outgoing {
+    /// Records of several shards.
+    Records {
+        /// The records.
+        body: Vec<u8>,
+        /// Signatures of the parts that they were taken from.
+        signatures: Vec<String>,
+        /// Shards that are left out.
+        missing: usize,
+    },
+    /// The reply of one leaf.
+    Whole(Whole),
+    /// The request is not valid; it names what to change.
+    Invalid(String),
+    /// No kind takes the request.
+    NotFound,
+    /// The request has not run and never will.
+    NotRun {
+        /// After which time it may be repeated.
+        retry: Duration,
+        /// Why.
+        why: String,
+    },
+    /// The time for the answer is over; the request may have run.
+    Late,
+    /// The leaves failed; the request may have run.
+    Failed,
+}
+
+/// Translates what callers speak.
+pub trait CallerProtocol: fmt::Debug + Send + Sync {
+    /// Reads a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with it and what to change.
+    fn read(&self, request: &Request, body: Vec<u8>) -> Result<Incoming, String>;
+
+    /// Writes an answer.
+    fn write(&self, answer: Outgoing) -> Response;
+
+    /// Tells whether a path asks for the readiness.
+    fn asks_ready(&self, path: &str) -> bool;
+}
--- /dev/null
+++ b/crates/guavacourse/src/edge/gateway/requests.rs
@@ -0,0 +1,147 @@
+//! One request of a caller, from its bytes to its answer.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use http_types::{Request, Response};
+
+use super::{
+    protocol::{Incoming, Outgoing},
+    serve::Traffic,
+};
+use crate::{
+    edge::entry::Engine,
+    modules::{
+        answer::{Answer, Content, Failure, Reason, Refusal},
+        query::QueryRequest,
+    },
+};
+
+/// Time that an answer needs to reach its caller.
+const DELIVERY: Duration = Duration::from_millis(12);
+
+/// Shortest time after which a refused request may be repeated.
+const RETRY_MIN: Duration = Duration::from_millis(40);
+
+/// Time over which the repeats of refused requests are spread.
+const RETRY_SPREAD: Duration = Duration::from_millis(160);
+
+/// Answers one request.
+pub(super) async fn handle(traffic: &Rc<Traffic>, mut request: Request) -> Response {
+    let body = request.body_bytes().await.unwrap_or_default();
+    let answer = match traffic.callers.read(&request, body) {
+        Ok(incoming) => forward(traffic, incoming).await,
+        Err(fault) => Outgoing::Invalid(fault),
+    };
+    traffic.callers.write(answer)
+}
+
+async fn forward(traffic: &Traffic, incoming: Incoming) -> Outgoing {
+    let started = traffic.clock.now();
+    let view = traffic.view.load();
+    if !view.ready() {
+        return not_run("no configuration is in force here yet");
+    }
+    let Some(kind) = view.catalog.forwarded(&incoming.host, &incoming.path) else {
+        return Outgoing::NotFound;
+    };
+    let name = kind.rules.name.clone();
+    let deadline = incoming
+        .deadline
+        .unwrap_or(kind.rules.deadline)
+        .saturating_sub(DELIVERY);
+    let id = incoming.forwarded.id.clone();
+    let request = QueryRequest {
+        kind: name.clone(),
+        deadline: Some(deadline.max(Duration::from_millis(1))),
+        least_coverage: None,
+        body: Arc::from(incoming.body),
+        forward: Some(Arc::new(incoming.forwarded)),
+    };
+    let engine = Engine {
+        clock: traffic.clock,
+        view: &traffic.view,
+        tier: &traffic.tier,
+        calls: &traffic.relay,
+        counter: &traffic.entry.calls,
+    };
+    let outgoing = match engine.run(request).await {
+        Ok(answer) => answered(&id, answer),
+        Err(refusal) => refused(&id, &refusal),
+    };
+    let took = traffic.clock.now().since(started);
+    traffic.entry.finished(&name, result(&outgoing), took);
+    outgoing
+}
+
+fn answered(id: &str, answer: Answer) -> Outgoing {
+    let trace = answer.trace;
+    match answer.body {
+        Ok(body) => match body.rows {
+            Content::Whole(whole) => Outgoing::Whole(whole),
+            Content::Records(records) => Outgoing::Records {
+                body: records,
+                signatures: body.signatures,
+                missing: body.missing,
+            },
+            Content::Json(rows) => Outgoing::Records {
+                body: rows.get().as_bytes().to_vec(),
+                signatures: body.signatures,
+                missing: body.missing,
+            },
+        },
+        Err(failure) => {
+            tracing::info!(
+                request = id,
+                kind = trace.kind,
+                revision = failure.revision,
+                reason = %failure.reason,
+                not_run = failure.not_run,
+                covered = failure.coverage.fraction,
+                elapsed_us = trace.elapsed_us,
+                calls = trace.calls,
+                denied = trace.denied,
+                attempts = ?trace.attempts,
+                "a request failed"
+            );
+            failed(failure)
+        }
+    }
+}
+
+fn failed(failure: Failure) -> Outgoing {
+    if failure.not_run {
+        return not_run("no leaf could take the request");
+    }
+    match (failure.reply, failure.reason) {
+        (Some(reply), _) => Outgoing::Whole(reply),
+        (None, Reason::Deadline) => Outgoing::Late,
+        (None, Reason::Coverage) => Outgoing::Failed,
+    }
+}
+
+fn refused(id: &str, refusal: &Refusal) -> Outgoing {
+    tracing::info!(request = id, %refusal, "a request was refused");
+    match refusal {
+        Refusal::UnknownKind(_) => Outgoing::NotFound,
+        _ => not_run(refusal.to_string()),
+    }
+}
+
+fn not_run(why: impl Into<String>) -> Outgoing {
+    Outgoing::NotRun {
+        retry: RETRY_MIN + RETRY_SPREAD.mul_f64(fastrand::f64()),
+        why: why.into(),
+    }
+}
+
+/// Returns the name of an outcome in the metrics.
+fn result(outgoing: &Outgoing) -> &'static str {
+    match outgoing {
+        Outgoing::Records { missing: 0, .. } | Outgoing::Whole(_) => "served",
+        Outgoing::Records { .. } => "partial",
+        Outgoing::Invalid(_) | Outgoing::NotFound => "invalid",
+        Outgoing::NotRun { .. } => "not-run",
+        Outgoing::Late => "late",
+        Outgoing::Failed => "failed",
+    }
+}
--- /dev/null
+++ b/crates/guavacourse/src/edge/gateway/serve.rs
@@ -0,0 +1,276 @@
+//! The traffic thread: serves callers, readiness and metrics.
+
+use std::{
+    cell::RefCell,
+    future::Future,
+    net::{SocketAddr, TcpListener as StdListener},
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use anyhow::Context;
+use http_types::{Request, Response};
+use smol::{
+    LocalExecutor,
+    net::{TcpListener, TcpStream},
+};
+
+use super::{CallerProtocol, GatewayConfig, requests};
+use crate::{
+    edge::{
+        clock::Clock,
+        http::{self, Limits, Shutdown},
+        metrics::{EntryMetrics, Metrics},
+        published::Published,
+        relay::{LeafProtocol, LocalRelay},
+        tasks::Tasks,
+        worker::Stop,
+    },
+    modules::{tier::Tier, view::View},
+};
+
+/// Time between two looks at whether requests are under way.
+const IDLE_LOOK: Duration = Duration::from_millis(20);
+
+/// Longest wait for leaves at the end.
+const RELAY_PATIENCE: Duration = Duration::from_millis(100);
+
+/// How far a gateway's stop has got. Clones share it.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Stopping {
+    leaving: Arc<AtomicBool>,
+    /// Callers' requests under way.
+    open: Arc<AtomicUsize>,
+    shutdown: Shutdown,
+}
+
+impl Stopping {
+    /// Lets readiness fall and asks callers to close.
+    pub(super) fn announce(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+        self.shutdown.announce();
+    }
+
+    /// Closes idle connections.
+    pub(super) fn end(&self) {
+        self.shutdown.end();
+    }
+
+    /// Waits until no request is under way, at most `patience`.
+    pub(super) fn wait_idle(&self, patience: Duration) {
+        let until = Instant::now() + patience;
+        while self.open.load(Ordering::Relaxed) > 0 && Instant::now() < until {
+            thread::sleep(IDLE_LOOK);
+        }
+        let left = self.open.load(Ordering::Relaxed);
+        if left > 0 {
+            tracing::warn!(left, "requests are cut, as the time to stop is over");
+        }
+    }
+}
+
+/// Counts a request while it is under way.
+struct Open(Arc<AtomicUsize>);
+
+impl Open {
+    fn new(count: &Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(count))
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// The sockets of a gateway.
+pub(super) struct Listeners {
+    callers: StdListener,
+    ready: StdListener,
+    metrics: Option<StdListener>,
+}
+
+impl Listeners {
+    /// Binds the addresses of the settings.
+    pub(super) fn bind(config: &GatewayConfig) -> anyhow::Result<Self> {
+        Ok(Self {
+            callers: bind(config.callers)?,
+            ready: bind(config.ready)?,
+            metrics: config.metrics.map(bind).transpose()?,
+        })
+    }
+}
+
+fn bind(address: SocketAddr) -> anyhow::Result<StdListener> {
+    let listener = StdListener::bind(address)
+        .with_context(|| format!("cannot listen on {address}; choose a free address"))?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
+/// What the thread starts with.
+pub(super) struct Plan {
+    pub(super) listeners: Listeners,
+    pub(super) config: GatewayConfig,
+    pub(super) clock: Clock,
+    pub(super) view: Published<View>,
+    pub(super) callers: Arc<dyn CallerProtocol>,
+    pub(super) leaves: Arc<dyn LeafProtocol>,
+    pub(super) stopping: Stopping,
+    pub(super) entry: EntryMetrics,
+    pub(super) metrics: Metrics,
+}
+
+/// What the requests of the thread share.
+pub(super) struct Traffic {
+    pub(super) clock: Clock,
+    pub(super) view: Published<View>,
+    pub(super) callers: Arc<dyn CallerProtocol>,
+    pub(super) tier: RefCell<Tier>,
+    pub(super) relay: LocalRelay,
+    pub(super) entry: EntryMetrics,
+    stopping: Stopping,
+    metrics: Metrics,
+    tasks: Tasks,
+}
+
+impl Plan {
+    /// Serves until the stop.
+    pub(super) async fn run(self, executor: Rc<LocalExecutor<'static>>, stop: Stop) {
+        let warn = |content| tracing::warn!(content, "a content crashes leaves");
+        let relay = LocalRelay::start(&executor, self.clock, self.view.clone(), self.leaves, warn);
+        let Some(relay) = relay else {
+            return;
+        };
+        let tier = Tier::new(&self.config.data_centre).with_extra(self.config.extra);
+        let traffic = Rc::new(Traffic {
+            clock: self.clock,
+            view: self.view,
+            callers: self.callers,
+            tier: RefCell::new(tier),
+            relay,
+            entry: self.entry,
+            stopping: self.stopping,
+            metrics: self.metrics,
+            tasks: Tasks::default(),
+        });
+        let listeners = self.listeners;
+        let mut serving = vec![
+            executor.spawn(accept(&traffic, &executor, listeners.callers, callers)),
+            executor.spawn(accept(&traffic, &executor, listeners.ready, ready)),
+        ];
+        if let Some(listener) = listeners.metrics {
+            serving.push(executor.spawn(accept(&traffic, &executor, listener, scrape)));
+        }
+        stop.wait().await;
+        for task in serving {
+            task.cancel().await;
+        }
+        traffic.tasks.cancel().await;
+        if let Some(traffic) = Rc::into_inner(traffic) {
+            traffic.relay.stop(RELAY_PATIENCE).await;
+        }
+    }
+}
+
+/// Accepts connections until dropped; `serve` serves each.
+fn accept<F>(
+    traffic: &Rc<Traffic>,
+    executor: &Rc<LocalExecutor<'static>>,
+    listener: StdListener,
+    serve: impl Fn(Rc<Traffic>, TcpStream) -> F + 'static,
+) -> impl Future<Output = ()> + 'static
+where
+    F: Future<Output = std::io::Result<()>> + 'static,
+{
+    let traffic = Rc::clone(traffic);
+    let executor = Rc::clone(executor);
+    async move {
+        let listener = match smol::Async::new(listener).map(TcpListener::from) {
+            Ok(listener) => listener,
+            Err(error) => {
+                tracing::error!(%error, "cannot serve; restart the process");
+                return;
+            }
+        };
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    // Small answers must not wait for the peer's acknowledgement.
+                    if let Err(error) = stream.set_nodelay(true) {
+                        tracing::debug!(%error, "a connection has gone already");
+                    }
+                    let connection = serve(Rc::clone(&traffic), stream);
+                    traffic.tasks.spawn(&executor, async move {
+                        if let Err(error) = connection.await {
+                            tracing::debug!(%error, "a connection failed");
+                        }
+                    });
+                }
+                Err(error) => {
+                    tracing::warn!(%error, "no connection accepted; raise the open-file limit");
+                    smol::Timer::after(IDLE_LOOK).await;
+                }
+            }
+        }
+    }
+}
+
+async fn callers(traffic: Rc<Traffic>, stream: TcpStream) -> std::io::Result<()> {
+    let view = traffic.view.load();
+    let mut limits = Limits {
+        shutdown: traffic.stopping.shutdown.clone(),
+        ..Limits::default()
+    };
+    if let Some(callers) = view.catalog.callers {
+        limits.head = callers.head_max;
+        limits.body = callers.body_max;
+        limits.arrival = callers.arrival;
+        limits.idle = callers.idle;
+    }
+    drop(view);
+    let handler = |request| {
+        let open = Open::new(&traffic.stopping.open);
+        let traffic = &traffic;
+        async move {
+            let response = requests::handle(traffic, request).await;
+            drop(open);
+            response
+        }
+    };
+    http::serve(stream, limits, handler).await
+}
+
+async fn ready(traffic: Rc<Traffic>, stream: TcpStream) -> std::io::Result<()> {
+    let handler = |request: Request| {
+        let leaving = traffic.stopping.leaving.load(Ordering::Relaxed);
+        let ready = traffic.view.load().ready() && !leaving;
+        let known = traffic.callers.asks_ready(request.url().path());
+        let status = match (known, ready) {
+            (true, true) => 200,
+            (true, false) => 503,
+            (false, _) => 404,
+        };
+        async move { Response::new(status) }
+    };
+    http::serve(stream, Limits::default(), handler).await
+}
+
+async fn scrape(traffic: Rc<Traffic>, stream: TcpStream) -> std::io::Result<()> {
+    let handler = |_| {
+        let page = traffic.metrics.scrape();
+        async move {
+            let mut response = Response::new(200);
+            response.set_body(page);
+            response
+        }
+    };
+    http::serve(stream, Limits::default(), handler).await
+}
--- a/crates/guavacourse/src/edge/http/client.rs
+++ b/crates/guavacourse/src/edge/http/client.rs
@@ -4,7 +4,7 @@
     io,
     net::{Shutdown, SocketAddr, TcpStream as StdStream},
     sync::Arc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
@@ -12,11 +12,17 @@
 use smol::{Async, Timer, net::TcpStream};
 use thiserror::Error;
 
-use super::head::{BadMessage, Side, read_body, read_head};
+use super::{
+    head::{BadMessage, Framing, HEAD_MAX, Side, body, read_body, read_head},
+    message::{self, ResponseHead},
+};
 
 /// Largest response body, in bytes.
 const BODY_MAX: usize = 4 * 1024 * 1024;
 
+/// Part of the time for which a server keeps an idle connection that it is used.
+const KEPT_PART: f64 = 0.8;
+
 /// Bytes set aside for a request; a longer one makes room for itself.
 const REQUEST_BYTES: usize = 1024;
 
@@ -46,6 +52,12 @@
     stream: TcpStream,
     buf: Vec<u8>,
     close: bool,
+    /// Whether a response without a length ends with the connection.
+    unframed: bool,
+    /// For how long the server keeps an idle connection, if it says so.
+    keep: Option<Duration>,
+    /// When the last exchange ended.
+    used: Instant,
 }
 
 impl Connection {
@@ -62,9 +74,19 @@
             stream,
             buf: Vec::new(),
             close: false,
+            unframed: false,
+            keep: None,
+            used: Instant::now(),
         })
     }
 
+    /// Takes responses without a length, which end with the connection.
+    #[must_use]
+    pub fn with_unframed(mut self, unframed: bool) -> Self {
+        self.unframed = unframed;
+        self
+    }
+
     /// Returns the address that it was opened to.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
@@ -77,35 +99,52 @@
     ///
     /// Returns an error after which the server may have seen the request.
     pub async fn exchange(&mut self, request: Request) -> Result<Response, ExchangeError> {
-        let (mut response, body) = self.exchange_parts(request).await?;
-        response.set_body(body);
-        Ok(response)
+        let mut bytes = Vec::with_capacity(REQUEST_BYTES);
+        let mut encoder = async_h1::client::Encoder::new(request);
+        let encoded = encoder.read_to_end(&mut bytes).await;
+        encoded.map_err(ExchangeError::Closed)?;
+        let (head, body) = self.exchange_bytes(&bytes).await?;
+        message::response(&head, body).map_err(fault)
     }
 
-    /// Sends a request and waits for the whole response; gives its body apart,
-    /// without a copy through the response.
-    pub(crate) async fn exchange_parts(
+    /// Sends the bytes of a whole request and waits for the whole response.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error after which the server may have seen the request.
+    pub async fn exchange_bytes(
         &mut self,
-        request: Request,
-    ) -> Result<(Response, Vec<u8>), ExchangeError> {
+        request: &[u8],
+    ) -> Result<(ResponseHead, Vec<u8>), ExchangeError> {
         self.send(request).await.map_err(ExchangeError::Closed)?;
         // Saves a read that would find nothing yet.
         let socket: Arc<Async<StdStream>> = self.stream.clone().into();
         socket.readable().await.map_err(ExchangeError::Closed)?;
-        let head = read_head(&mut self.stream, &mut self.buf, Side::Response)
+        let head = read_head(&mut self.stream, &mut self.buf, Side::Response, HEAD_MAX)
             .await
             .map_err(fault)?;
-        read_body(&mut self.stream, &mut self.buf, head, BODY_MAX)
+        if head.framing == Framing::Close && !self.unframed {
+            return Err(fault(BadMessage::LengthRequired));
+        }
+        let end = read_body(&mut self.stream, &mut self.buf, head, BODY_MAX)
             .await
             .map_err(fault)?;
-        self.close = head.close || self.buf.len() > head.size + head.body;
-        self.buf.truncate(head.size + head.body);
-        let body = self.buf.split_off(head.size);
-        let message = futures_lite::io::Cursor::new(std::mem::take(&mut self.buf));
-        let response = async_h1::client::decode(message)
-            .await
-            .map_err(|e| ExchangeError::Malformed(e.to_string()))?;
-        Ok((response, body))
+        self.close = head.close || self.buf.len() > end;
+        self.buf.truncate(end);
+        let message = std::mem::take(&mut self.buf);
+        let parsed = message::response_head(&message, head).map_err(fault)?;
+        let body = body(&message, head).map_err(fault)?;
+        self.used = Instant::now();
+        self.keep = parsed.keep_alive().or(self.keep);
+        Ok((parsed, body))
+    }
+
+    /// Tells whether the server still keeps the idle connection, by its own
+    /// word and with room to spare for a request on its way.
+    #[must_use]
+    pub fn kept(&self) -> bool {
+        let limit = self.keep.map(|keep| keep.mul_f64(KEPT_PART));
+        limit.is_none_or(|limit| self.used.elapsed() < limit)
     }
 
     /// Tells whether the server has kept an idle connection open and sent
@@ -140,11 +179,8 @@
         !self.close && self.buf.is_empty()
     }
 
-    async fn send(&mut self, request: Request) -> io::Result<()> {
-        let mut bytes = Vec::with_capacity(REQUEST_BYTES);
-        let mut encoder = async_h1::client::Encoder::new(request);
-        encoder.read_to_end(&mut bytes).await?;
-        self.stream.write_all(&bytes).await?;
+    async fn send(&mut self, request: &[u8]) -> io::Result<()> {
+        self.stream.write_all(request).await?;
         self.stream.flush().await
     }
 }
--- a/crates/guavacourse/src/edge/http/head.rs
+++ b/crates/guavacourse/src/edge/http/head.rs
@@ -1,15 +1,16 @@
-//! Reads whole HTTP/1.1 messages and refuses ambiguous ones.
+//! Reads whole HTTP/1.1 messages and refuses ambiguous ones. Headers are parsed
+//! by `httparse`.
 
-use std::{future::poll_fn, io, pin::Pin, task::Poll};
+use std::{future::poll_fn, io, ops::Range, pin::Pin, task::Poll};
 
 use futures_lite::AsyncRead;
 use thiserror::Error;
 
-/// Largest head of a message, in bytes.
+/// Largest head of a message unless the settings say otherwise, in bytes.
 pub const HEAD_MAX: usize = 8 * 1024;
 
 /// Largest number of headers in a message.
-const HEADERS_MAX: usize = 64;
+pub(super) const HEADERS_MAX: usize = 100;
 
 /// Bytes asked of the socket at a time.
 const CHUNK: usize = 4 * 1024;
@@ -23,11 +24,11 @@
     /// The peer closed within a message.
     #[error("the message was cut short; send it again whole")]
     Truncated,
-    /// The head is longer than [`HEAD_MAX`].
-    #[error("the head is over {HEAD_MAX} bytes; send fewer or shorter headers")]
-    HeadTooLong,
+    /// The head is longer than the limit.
+    #[error("the head is over {0} bytes; send fewer or shorter headers")]
+    HeadTooLong(usize),
     /// The body is longer than the limit.
-    #[error("the body of {0} bytes is over the limit of {1}; send a smaller one")]
+    #[error("the body of {0} bytes or more is over the limit of {1}; send a smaller one")]
     BodyTooLong(usize, usize),
     /// The head breaks the syntax.
     #[error("the head is not HTTP/1.1: {0}")]
@@ -38,9 +39,15 @@
     /// The version is not HTTP/1.1.
     #[error("HTTP/1.{0} is not served; use HTTP/1.1")]
     Version(u8),
-    /// A body without a length.
-    #[error("transfer-encoding is not served; send content-length")]
+    /// A transfer coding other than `chunked`, or one beside a length.
+    #[error("this transfer-encoding is not served; send content-length, or chunked alone")]
+    Coding,
+    /// A response without a length where one is needed.
+    #[error("the response has no content-length and is not chunked; send its length")]
     LengthRequired,
+    /// A chunk that breaks the syntax.
+    #[error("a chunk of the body is not valid; send its size in hexadecimal, then its bytes")]
+    Chunk,
     /// The socket failed.
     #[error("the connection failed: {0}")]
     Io(#[from] io::Error),
@@ -51,17 +58,28 @@
 pub(super) enum Side {
     /// A request: must name its host.
     Request,
-    /// A response: must give its length.
+    /// A response: one without a length ends with its connection.
     Response,
 }
 
+/// Where the body of a message ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Framing {
+    /// After so many bytes.
+    Length(usize),
+    /// With its last chunk.
+    Chunked,
+    /// With the connection.
+    Close,
+}
+
 /// What a checked head says of its message.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) struct Head {
     /// Bytes of the head, its blank line included.
     pub size: usize,
-    /// Bytes of the body.
-    pub body: usize,
+    /// Where the body ends.
+    pub framing: Framing,
     /// Whether the sender waits for `100 Continue`.
     pub expect: bool,
     /// Whether the sender asks to close the connection after this exchange.
@@ -73,14 +91,14 @@
     stream: &mut (impl AsyncRead + Unpin),
     buf: &mut Vec<u8>,
     side: Side,
+    limit: usize,
 ) -> Result<Head, BadMessage> {
     let mut seen = 0;
     loop {
-        if let Some(size) = head_size(buf, seen) {
-            return check_head(&buf[..size], side);
-        }
-        if buf.len() > HEAD_MAX {
-            return Err(BadMessage::HeadTooLong);
+        match head_size(buf, seen) {
+            Some(size) if size <= limit => return check_head(&buf[..size], side),
+            None if buf.len() <= limit => {}
+            _ => return Err(BadMessage::HeadTooLong(limit)),
         }
         seen = buf.len();
         let empty = buf.is_empty();
@@ -94,22 +112,88 @@
     }
 }
 
-/// Reads from `stream` until `buf` holds the whole message of `head`.
+/// Reads from `stream` until `buf` holds the whole message of `head`, and
+/// returns where in `buf` it ends. A body of over `limit` bytes is refused.
 pub(super) async fn read_body(
     stream: &mut (impl AsyncRead + Unpin),
     buf: &mut Vec<u8>,
     head: Head,
     limit: usize,
-) -> Result<(), BadMessage> {
-    if head.body > limit {
-        return Err(BadMessage::BodyTooLong(head.body, limit));
-    }
-    while buf.len() < head.size + head.body {
+) -> Result<usize, BadMessage> {
+    loop {
+        let here = buf.len().saturating_sub(head.size);
+        let end = match head.framing {
+            Framing::Length(length) if length > limit => {
+                return Err(BadMessage::BodyTooLong(length, limit));
+            }
+            Framing::Length(length) => (here >= length).then_some(length),
+            Framing::Chunked => chunks(&buf[head.size..]).map(|chunks| chunks.map(|c| c.end))?,
+            Framing::Close => None,
+        };
+        if let Some(end) = end {
+            return Ok(head.size + end);
+        }
+        if here > limit.saturating_mul(2) {
+            return Err(BadMessage::BodyTooLong(here, limit));
+        }
         if fill(stream, buf).await? == 0 {
-            return Err(BadMessage::Truncated);
+            return match head.framing {
+                Framing::Close => Ok(buf.len()),
+                _ => Err(BadMessage::Truncated),
+            };
         }
     }
-    Ok(())
+}
+
+/// Returns the body of the whole message in `message`.
+pub(super) fn body(message: &[u8], head: Head) -> Result<Vec<u8>, BadMessage> {
+    let rest = &message[head.size..];
+    if head.framing != Framing::Chunked {
+        return Ok(rest.to_vec());
+    }
+    let chunks = chunks(rest)?.ok_or(BadMessage::Truncated)?;
+    Ok(chunks
+        .data
+        .iter()
+        .flat_map(|data| &rest[data.clone()])
+        .copied()
+        .collect())
+}
+
+/// The chunks of a whole body.
+struct Chunks {
+    /// Where their data lie.
+    data: Vec<Range<usize>>,
+    /// Where the body ends.
+    end: usize,
+}
+
+/// Finds the chunks of a body; none if it is not whole yet. Trailers are
+/// refused.
+fn chunks(bytes: &[u8]) -> Result<Option<Chunks>, BadMessage> {
+    const CRLF: &[u8] = b"\r\n";
+    let mut data = Vec::new();
+    let mut at = 0;
+    loop {
+        let parsed = httparse::parse_chunk_size(&bytes[at..]).map_err(|_| BadMessage::Chunk)?;
+        let httparse::Status::Complete((head, size)) = parsed else {
+            return Ok(None);
+        };
+        let start = at + head;
+        let size = usize::try_from(size).map_err(|_| BadMessage::Chunk)?;
+        let end = start.checked_add(size).ok_or(BadMessage::Chunk)?;
+        let Some(mark) = bytes.get(end..end + CRLF.len()) else {
+            return Ok(None);
+        };
+        if mark != CRLF {
+            return Err(BadMessage::Chunk);
+        }
+        at = end + CRLF.len();
+        if size == 0 {
+            return Ok(Some(Chunks { data, end: at }));
+        }
+        data.push(start..end);
+    }
 }
 
 /// Appends what the socket has to `buf`; returns the number of bytes. If the
@@ -136,13 +220,13 @@
     const END: &[u8] = b"\r\n\r\n";
     let start = seen.saturating_sub(END.len());
     let found = buf[start..].windows(END.len()).position(|w| w == END)?;
-    let size = start + found + END.len();
-    (size <= HEAD_MAX).then_some(size)
+    Some(start + found + END.len())
 }
 
 fn check_head(bytes: &[u8], side: Side) -> Result<Head, BadMessage> {
     let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
     let syntax = |e: httparse::Error| BadMessage::Syntax(e.to_string());
+    let mut empty = false;
     let (parsed, version, headers) = match side {
         Side::Request => {
             let mut request = httparse::Request::new(&mut headers);
@@ -153,6 +237,7 @@
         Side::Response => {
             let mut response = httparse::Response::new(&mut headers);
             let parsed = response.parse(bytes).map_err(syntax)?;
+            empty = matches!(response.code, Some(204 | 304));
             (parsed, response.version, response.headers)
         }
     };
@@ -163,10 +248,14 @@
     if version != Some(1) {
         return Err(BadMessage::Version(version.unwrap_or_default()));
     }
-    check_headers(headers, side, bytes.len())
+    let mut head = check_headers(headers, side, bytes.len())?;
+    if empty {
+        head.framing = Framing::Length(0);
+    }
+    Ok(head)
 }
 
-/// Refuses a target that `async-h1` would close on without a response.
+/// Refuses a target that is not a path.
 fn check_target(target: &str) -> Result<(), BadMessage> {
     if target.starts_with('/') {
         return Ok(());
@@ -181,10 +270,11 @@
     head_bytes: usize,
 ) -> Result<Head, BadMessage> {
     let mut length = None;
+    let mut chunked = false;
     let mut host = false;
     let mut head = Head {
         size: head_bytes,
-        body: 0,
+        framing: Framing::Close,
         expect: false,
         close: false,
     };
@@ -199,7 +289,10 @@
             }
             length = Some(parse_length(value)?);
         } else if is("transfer-encoding") {
-            return Err(BadMessage::LengthRequired);
+            if chunked || !value.eq_ignore_ascii_case("chunked") {
+                return Err(BadMessage::Coding);
+            }
+            chunked = true;
         } else if is("host") {
             if host {
                 let fault = "host is given twice; send it once";
@@ -216,10 +309,14 @@
         let fault = "header host is missing; add it";
         return Err(BadMessage::Header(fault.to_owned()));
     }
-    if side == Side::Response && length.is_none() {
-        return Err(BadMessage::LengthRequired);
-    }
-    head.body = length.unwrap_or_default();
+    head.framing = match (length, chunked, side) {
+        (Some(_), true, _) => return Err(BadMessage::Coding),
+        (Some(length), false, _) => Framing::Length(length),
+        (None, true, _) => Framing::Chunked,
+        (None, false, Side::Request) => Framing::Length(0),
+        (None, false, Side::Response) => Framing::Close,
+    };
+    head.close |= head.framing == Framing::Close;
     Ok(head)
 }
 
--- /dev/null
+++ b/crates/guavacourse/src/edge/http/message.rs
@@ -0,0 +1,115 @@
+//! Whole messages between their bytes and the types of `http-types`.
+
+use std::{str::FromStr, time::Duration};
+
+use http_types::{
+    Method, Request, Response, StatusCode, Url,
+    headers::{HeaderName, HeaderValue},
+};
+
+use super::head::{BadMessage, HEADERS_MAX, Head, body};
+
+/// Path and query of a request, byte for byte as its sender wrote them. A URL
+/// may hold them in another form.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Target(pub String);
+
+/// Status and headers of a response.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct ResponseHead {
+    /// HTTP status.
+    pub status: u16,
+    /// Names and values of the headers, in their order.
+    pub headers: Vec<(String, String)>,
+}
+
+impl ResponseHead {
+    /// Returns the last value of a header.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut headers = self.headers.iter().rev();
+        let found = headers.find(|(own, _)| own.eq_ignore_ascii_case(name));
+        found.map(|(_, value)| value.as_str())
+    }
+
+    /// Returns for how long the sender keeps an idle connection, if it says so.
+    #[must_use]
+    pub fn keep_alive(&self) -> Option<Duration> {
+        let mut fields = self.header("keep-alive")?.split(',').map(str::trim);
+        let timeout = fields.find_map(|field| field.strip_prefix("timeout="))?;
+        timeout.parse().ok().map(Duration::from_secs)
+    }
+}
+
+/// Parses a whole request. Its [`Target`] stands among its extensions.
+pub(super) fn request(message: &[u8], head: Head) -> Result<Request, BadMessage> {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
+    let mut parsed = httparse::Request::new(&mut headers);
+    parsed.parse(&message[..head.size]).map_err(syntax)?;
+    let method = parsed.method.unwrap_or_default();
+    let method = Method::from_str(method)
+        .map_err(|_| BadMessage::Syntax(format!("method `{method}` is not known")))?;
+    let target = parsed.path.unwrap_or_default().to_owned();
+    let host = parsed
+        .headers
+        .iter()
+        .find(|h| h.name.eq_ignore_ascii_case("host"));
+    let host = host
+        .map(|h| String::from_utf8_lossy(h.value))
+        .unwrap_or_default();
+    let url = Url::parse(&format!("http://{host}{target}"))
+        .map_err(|e| BadMessage::Header(format!("host `{host}` makes no URL: {e}")))?;
+    let mut request = Request::new(method, url);
+    request.set_body(body(message, head)?);
+    request.remove_header("content-type");
+    for header in parsed.headers.iter() {
+        let (name, value) = field(header)?;
+        request.append_header(name, value);
+    }
+    request.ext_mut().insert(Target(target));
+    Ok(request)
+}
+
+/// Parses the head of a response.
+pub(super) fn response_head(message: &[u8], head: Head) -> Result<ResponseHead, BadMessage> {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
+    let mut parsed = httparse::Response::new(&mut headers);
+    parsed.parse(&message[..head.size]).map_err(syntax)?;
+    let headers = parsed.headers.iter().map(|header| {
+        let value = String::from_utf8_lossy(header.value);
+        (header.name.to_owned(), value.into_owned())
+    });
+    Ok(ResponseHead {
+        status: parsed.code.unwrap_or_default(),
+        headers: headers.collect(),
+    })
+}
+
+/// Builds a response from its parts.
+pub(super) fn response(head: &ResponseHead, body: Vec<u8>) -> Result<Response, BadMessage> {
+    let status = StatusCode::try_from(head.status)
+        .map_err(|_| BadMessage::Syntax(format!("status {} is not known", head.status)))?;
+    let mut response = Response::new(status);
+    response.set_body(body);
+    response.remove_header("content-type");
+    for (name, value) in &head.headers {
+        let header = httparse::Header {
+            name,
+            value: value.as_bytes(),
+        };
+        let (name, value) = field(&header)?;
+        response.append_header(name, value);
+    }
+    Ok(response)
+}
+
+fn field(header: &httparse::Header<'_>) -> Result<(HeaderName, HeaderValue), BadMessage> {
+    let fault = |_| BadMessage::Header(format!("header {} is not ASCII", header.name));
+    let name = HeaderName::from_str(header.name).map_err(fault)?;
+    let value = HeaderValue::from_bytes(header.value.to_vec()).map_err(fault)?;
+    Ok((name, value))
+}
+
+fn syntax(error: httparse::Error) -> BadMessage {
+    BadMessage::Syntax(error.to_string())
+}
--- a/crates/guavacourse/src/edge/http/mod.rs
+++ b/crates/guavacourse/src/edge/http/mod.rs
@@ -1,14 +1,16 @@
-//! HTTP/1.1 over `async-h1`, with whole messages only.
+//! HTTP/1.1 with whole messages only.
 //!
 //! `async-h1` hands on a body shorter than its `content-length`, loses a
-//! pipelined request and closes on a bad head without a response. So a message
-//! is read here as a whole, checked, and only then parsed by `async-h1` from
-//! memory.
+//! pipelined request, closes on a bad head without a response and takes no head
+//! over 8 KB. So messages are read here as a whole and checked with `httparse`,
+//! its own parser; `async-h1` writes responses and the product's own requests.
 
 mod client;
 mod head;
+mod message;
 mod server;
 
 pub use client::{Connection, ExchangeError, call};
 pub use head::{BadMessage, HEAD_MAX};
+pub use message::{ResponseHead, Target};
 pub use server::{Limits, Shutdown, json_response, serve};
--- a/crates/guavacourse/src/edge/http/server.rs
+++ b/crates/guavacourse/src/edge/http/server.rs
@@ -3,16 +3,14 @@
 use std::{
     future::Future,
     io,
-    pin::Pin,
     sync::{
-        Arc, Mutex,
+        Arc,
         atomic::{AtomicBool, Ordering},
     },
-    task::{Context as TaskContext, Poll},
     time::Duration,
 };
 
-use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, FutureExt, future};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt, future};
 use http_types::{Method, Request, Response, StatusCode, headers};
 use serde::Serialize;
 use smol::{
@@ -21,11 +19,16 @@
     net::TcpStream,
 };
 
-use super::head::{BadMessage, Side, fill, read_body, read_head};
+use super::{
+    head::{BadMessage, Framing, HEAD_MAX, Side, fill, read_body, read_head},
+    message,
+};
 
 /// Bounds on one connection.
 #[derive(Clone, Debug)]
 pub struct Limits {
+    /// Largest head, in bytes.
+    pub head: usize,
     /// Largest body, in bytes.
     pub body: usize,
     /// Longest wait for the first byte of a request.
@@ -84,6 +87,7 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
+            head: HEAD_MAX,
             body: 64 * 1024,
             idle: Duration::from_mins(1),
             arrival: Duration::from_secs(5),
@@ -118,15 +122,11 @@
 {
     let mut buf = Vec::new();
     loop {
-        let (message, close) = match read_request(&mut stream, &mut buf, &limits).await {
-            Ok(Some(message)) => message,
+        let (request, close) = match read_request(&mut stream, &mut buf, &limits).await {
+            Ok(Some(request)) => request,
             Ok(None) => return Ok(()),
             Err(bad) => return refuse(&mut stream, &limits, &bad).await,
         };
-        let Some(request) = parse(message).await else {
-            let bad = BadMessage::Syntax("the request cannot be parsed".to_owned());
-            return refuse(&mut stream, &limits, &bad).await;
-        };
         let method = request.method();
         let answer = async { Some(handler(request).await) };
         let mut watched = stream.clone();
@@ -165,18 +165,24 @@
     stream: &mut TcpStream,
     buf: &mut Vec<u8>,
     limits: &Limits,
-) -> Result<Option<(Vec<u8>, bool)>, BadMessage> {
+) -> Result<Option<(Request, bool)>, BadMessage> {
     if buf.is_empty() && !wait_first(stream, buf, limits).await? {
         return Ok(None);
     }
     let whole = async {
-        let head = read_head(stream, buf, Side::Request).await?;
-        if head.expect && head.body <= limits.body {
+        let head = read_head(stream, buf, Side::Request, limits.head).await?;
+        let fits = !matches!(head.framing, Framing::Length(length) if length > limits.body);
+        if head.expect && fits {
             stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
         }
-        read_body(stream, buf, head, limits.body).await?;
-        let rest = buf.split_off(head.size + head.body);
-        Ok(Some((std::mem::replace(buf, rest), head.close)))
+        let end = read_body(stream, buf, head, limits.body).await?;
+        let rest = buf.split_off(end);
+        let message = std::mem::replace(buf, rest);
+        let request = message::request(&message, head)?;
+        if request.len().is_some_and(|length| length > limits.body) {
+            return Err(BadMessage::BodyTooLong(end - head.size, limits.body));
+        }
+        Ok(Some((request, head.close)))
     };
     let late = async {
         Timer::after(limits.arrival).await;
@@ -220,11 +226,11 @@
         BadMessage::Idle | BadMessage::Truncated => return Ok(()),
         BadMessage::Io(e) if e.kind() != io::ErrorKind::TimedOut => return Ok(()),
         BadMessage::Io(_) => 408,
-        BadMessage::HeadTooLong => 431,
+        BadMessage::HeadTooLong(_) => 431,
         BadMessage::BodyTooLong(..) => 413,
-        BadMessage::Syntax(_) | BadMessage::Header(_) => 400,
+        BadMessage::Chunk | BadMessage::Syntax(_) | BadMessage::Header(_) => 400,
         BadMessage::Version(_) => 505,
-        BadMessage::LengthRequired => 411,
+        BadMessage::Coding | BadMessage::LengthRequired => 501,
     };
     let message = match bad {
         BadMessage::Io(_) => "the request did not arrive in time; send it whole at once".to_owned(),
@@ -275,44 +281,3 @@
     };
     sent.or(late).await
 }
-
-async fn parse(message: Vec<u8>) -> Option<Request> {
-    let io = Memory(Arc::new(Mutex::new(io::Cursor::new(message))));
-    let (mut request, _) = async_h1::server::decode(io).await.ok()??;
-    let body = request.body_bytes().await.ok()?;
-    request.set_body(body);
-    Some(request)
-}
-
-/// A message in memory, in the shape that `async-h1` reads from.
-#[derive(Clone)]
-struct Memory(Arc<Mutex<io::Cursor<Vec<u8>>>>);
-
-impl AsyncRead for Memory {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        _: &mut TaskContext<'_>,
-        buf: &mut [u8],
-    ) -> Poll<io::Result<usize>> {
-        let mut cursor = self.0.lock().map_err(|_| io::ErrorKind::Other)?;
-        Poll::Ready(io::Read::read(&mut *cursor, buf))
-    }
-}
-
-impl AsyncWrite for Memory {
-    fn poll_write(
-        self: Pin<&mut Self>,
-        _: &mut TaskContext<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Poll::Ready(Ok(buf.len()))
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, _: &mut TaskContext<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
-    }
-
-    fn poll_close(self: Pin<&mut Self>, _: &mut TaskContext<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
-    }
-}
--- a/crates/guavacourse/src/edge/mod.rs
+++ b/crates/guavacourse/src/edge/mod.rs
@@ -5,6 +5,7 @@
 pub mod control;
 pub mod entry;
 pub(crate) mod fleet;
+pub mod gateway;
 pub mod http;
 pub mod log;
 pub mod metrics;
--- a/crates/guavacourse/src/edge/relay/exchanges.rs
+++ b/crates/guavacourse/src/edge/relay/exchanges.rs
@@ -7,6 +7,7 @@
     cell::{Cell, RefCell},
     net::SocketAddr,
     rc::Rc,
+    sync::Arc,
     time::Duration,
 };
 
@@ -18,7 +19,7 @@
     channel::{Receiver, Sender},
 };
 
-use super::leaf;
+use super::protocol::{self, LeafCall, LeafProtocol};
 use crate::{
     edge::{clock::Clock, http::Connection, tasks::Tasks},
     modules::{
@@ -54,6 +55,8 @@
     pub(super) key: JobKey,
     /// The call.
     pub(super) job: Job,
+    /// Name of its leaf.
+    pub(super) leaf: String,
     /// Address of its leaf.
     pub(super) address: SocketAddr,
     /// Whether it goes on a new connection rather than on a kept one.
@@ -88,6 +91,7 @@
     pub(super) clock: Clock,
     pub(super) orders: Receiver<Order>,
     pub(super) reports: Sender<Report>,
+    pub(super) protocol: Arc<dyn LeafProtocol>,
 }
 
 impl Line {
@@ -98,6 +102,7 @@
             executor,
             clock: self.clock,
             reports: self.reports,
+            protocol: self.protocol,
             pool: RefCell::default(),
             flights: RefCell::default(),
             chores: Tasks::default(),
@@ -114,6 +119,7 @@
     executor: Rc<LocalExecutor<'static>>,
     clock: Clock,
     reports: Sender<Report>,
+    protocol: Arc<dyn LeafProtocol>,
     pool: RefCell<Map<LeafId, Vec<Connection>>>,
     flights: RefCell<SecondaryMap<JobKey, Flight>>,
     chores: Tasks,
@@ -187,7 +193,7 @@
         interrupted: oneshot::Receiver<Interrupt>,
     ) {
         // One to an address that the leaf has left was in use when it moved.
-        let fit = |kept: &Connection| kept.address() == call.address && kept.alive();
+        let fit = |kept: &Connection| kept.address() == call.address && kept.kept() && kept.alive();
         let mut slot = kept.filter(fit);
         let sent = Cell::new(false);
         let run = async { Some(self.run(&call, &mut slot, &sent).await) };
@@ -217,7 +223,8 @@
         sent: &Cell<bool>,
     ) -> Ending {
         if slot.is_none() {
-            *slot = connect(call.address).await;
+            let opened = connect(call.address).await;
+            *slot = opened.map(|c| c.with_unframed(self.protocol.unframed()));
         }
         let Some(connection) = slot.as_mut() else {
             return Ending::Unreachable;
@@ -225,7 +232,14 @@
         sent.set(true);
         // Unique over all sessions, unlike the attempts of entries.
         let echo = call.key.data().as_ffi();
-        leaf::exchange(connection, call.address, &call.job, echo, self.clock.now()).await
+        let leaf_call = LeafCall {
+            job: &call.job,
+            leaf: &call.leaf,
+            address: call.address,
+            echo,
+            left: call.job.deadline.left(self.clock.now()),
+        };
+        protocol::exchange(&*self.protocol, connection, &leaf_call).await
     }
 
     /// Reports the end of an exchange, and closes or keeps its connection.
--- a/crates/guavacourse/src/edge/relay/leaf.rs
+++ b/crates/guavacourse/src/edge/relay/leaf.rs
@@ -1,61 +1,60 @@
-//! One exchange with a leaf over HTTP, as `docs/PROTOCOLS.md` has it.
+//! The protocol of `docs/PROTOCOLS.md` towards leaves.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{fmt::Write, sync::Arc};
 
-use http_types::{Method, Request, Response, StatusCode, Url};
 use serde::de::IgnoredAny;
 
+use super::protocol::{LeafCall, LeafProtocol};
 use crate::{
-    edge::http::{Connection, ExchangeError},
+    edge::http::ResponseHead,
     modules::{
-        admission::{Answer, Ending, Job},
+        admission::{Answer, Ending},
         call::{Held, NotRun, Outcome, Rows, Unknown},
         keys::KeyRange,
-        time::{Time, micros},
+        time::micros,
     },
 };
 
-/// Sends a call over an open connection and reads the leaf's reply, which must
-/// echo `echo`.
-pub(super) async fn exchange(
-    connection: &mut Connection,
-    address: SocketAddr,
-    job: &Job,
-    echo: u64,
-    now: Time,
-) -> Ending {
-    let Some(request) = request(address, job, echo, now) else {
-        return Ending::Unreachable;
-    };
-    match connection.exchange_parts(request).await {
-        Ok((response, body)) => read(&response, body, echo),
-        Err(ExchangeError::Unreachable(_)) => Ending::Unreachable,
-        Err(ExchangeError::Closed(_)) => Ending::Lost(Unknown::Closed),
-        Err(ExchangeError::Malformed(_)) => Ending::Lost(Unknown::Malformed),
-        Err(ExchangeError::Timeout) => Ending::Lost(Unknown::Timeout),
+/// Queries and actions of the product's own interface.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct OwnProtocol;
+
+impl LeafProtocol for OwnProtocol {
+    fn encode(&self, call: &LeafCall<'_>) -> Option<Vec<u8>> {
+        let part = &call.job.part;
+        let path = if call.job.is_action() {
+            "action"
+        } else {
+            "query"
+        };
+        let mut head = format!("POST /{path} HTTP/1.1\r\nhost: {}\r\n", call.address);
+        let mut header = |name: &str, value: &dyn std::fmt::Display| {
+            // Writing to a string cannot fail.
+            let _ = write!(head, "{name}: {value}\r\n");
+        };
+        header("attempt", &call.echo);
+        header("kind", &part.kind);
+        header("deadline-us", &micros(call.left));
+        header("index-version", &part.version);
+        header("partition-epoch", &part.epoch);
+        if call.job.is_action() {
+            header("action-id", &part.action);
+        }
+        header("content-type", &"application/octet-stream");
+        header("content-length", &part.body.len());
+        head.push_str("\r\n");
+        let mut bytes = head.into_bytes();
+        bytes.extend_from_slice(&part.body);
+        Some(bytes)
     }
-}
 
-fn request(address: SocketAddr, job: &Job, echo: u64, now: Time) -> Option<Request> {
-    let part = &job.part;
-    let path = if job.is_action() { "action" } else { "query" };
-    let url = Url::parse(&format!("http://{address}/{path}")).ok()?;
-    let mut request = Request::new(Method::Post, url);
-    request.insert_header("attempt", echo.to_string());
-    request.insert_header("kind", part.kind.as_str());
-    let left = micros(job.deadline.left(now));
-    request.insert_header("deadline-us", left.to_string());
-    request.insert_header("index-version", part.version.to_string());
-    request.insert_header("partition-epoch", part.epoch.to_string());
-    if job.is_action() {
-        request.insert_header("action-id", part.action.as_str());
+    fn decode(&self, call: &LeafCall<'_>, head: &ResponseHead, body: Vec<u8>) -> Ending {
+        read(head, body, call.echo)
     }
-    request.set_body(part.body.to_vec());
-    Some(request)
 }
 
 /// Reads a whole reply. Nothing in it counts unless it echoes the attempt.
-fn read(response: &Response, body: Vec<u8>, echo: u64) -> Ending {
+fn read(response: &ResponseHead, body: Vec<u8>, echo: u64) -> Ending {
     match number(response, "attempt") {
         Some(attempt) if attempt == echo => {}
         Some(_) => return Ending::Lost(Unknown::Mismatched),
@@ -71,23 +70,21 @@
     })
 }
 
-fn outcome(response: &Response, body: Vec<u8>) -> Option<Outcome> {
+fn outcome(response: &ResponseHead, body: Vec<u8>) -> Option<Outcome> {
     let why = text(response, "not-run");
-    match (response.status(), why) {
-        (StatusCode::Ok, None) => rows(response, body).map(Outcome::Rows),
-        (StatusCode::Conflict, Some("snapshot")) => held(response).map(Outcome::Elsewhere),
-        (StatusCode::ServiceUnavailable, Some("shed")) => Some(Outcome::NotRun(NotRun::Shed)),
-        (StatusCode::ServiceUnavailable, Some("draining")) => {
-            Some(Outcome::NotRun(NotRun::Draining))
-        }
-        (StatusCode::GatewayTimeout, Some("expired")) => Some(Outcome::NotRun(NotRun::Expired)),
-        (StatusCode::GatewayTimeout, None) => Some(Outcome::Unknown(Unknown::Timeout)),
+    match (response.status, why) {
+        (200, None) => rows(response, body).map(Outcome::Rows),
+        (409, Some("snapshot")) => held(response).map(Outcome::Elsewhere),
+        (503, Some("shed")) => Some(Outcome::NotRun(NotRun::Shed)),
+        (503, Some("draining")) => Some(Outcome::NotRun(NotRun::Draining)),
+        (504, Some("expired")) => Some(Outcome::NotRun(NotRun::Expired)),
+        (504, None) => Some(Outcome::Unknown(Unknown::Timeout)),
         _ => None,
     }
 }
 
 /// Reads the rows of a reply, if their number is the one announced.
-fn rows(response: &Response, body: Vec<u8>) -> Option<Rows> {
+fn rows(response: &ResponseHead, body: Vec<u8>) -> Option<Rows> {
     let rows: Vec<IgnoredAny> = serde_json::from_slice(&body).ok()?;
     if number(response, "row-count") != u64::try_from(rows.len()).ok() {
         return None;
@@ -100,10 +97,11 @@
         epoch: number(response, "partition-epoch")?,
         range: KeyRange::new(from, until),
         body: Arc::from(body),
+        origin: None,
     })
 }
 
-fn held(response: &Response) -> Option<Held> {
+fn held(response: &ResponseHead) -> Option<Held> {
     Some(Held {
         oldest: number(response, "index-oldest")?,
         newest: number(response, "index-newest")?,
@@ -111,14 +109,14 @@
     })
 }
 
-fn key(response: &Response, name: &str) -> Option<u32> {
+fn key(response: &ResponseHead, name: &str) -> Option<u32> {
     u32::try_from(number(response, name)?).ok()
 }
 
-fn number(response: &Response, name: &str) -> Option<u64> {
+fn number(response: &ResponseHead, name: &str) -> Option<u64> {
     text(response, name)?.parse().ok()
 }
 
-fn text<'a>(response: &'a Response, name: &str) -> Option<&'a str> {
-    response.header(name).map(|values| values.last().as_str())
+fn text<'a>(response: &'a ResponseHead, name: &str) -> Option<&'a str> {
+    response.header(name)
 }
--- a/crates/guavacourse/src/edge/relay/mod.rs
+++ b/crates/guavacourse/src/edge/relay/mod.rs
@@ -3,13 +3,16 @@
 mod client;
 mod exchanges;
 mod leaf;
+mod local;
 mod outbox;
+mod protocol;
 mod session;
 mod traffic;
 
 use std::{
     net::{SocketAddr, TcpListener},
     rc::Rc,
+    sync::Arc,
     time::Duration,
 };
 
@@ -19,7 +22,12 @@
     channel::{Receiver, Sender, unbounded},
 };
 
-pub use self::client::{FromRelay, RelayClient};
+pub(crate) use self::local::LocalRelay;
+pub use self::{
+    client::{FromRelay, RelayClient},
+    leaf::OwnProtocol,
+    protocol::{LeafCall, LeafProtocol},
+};
 use self::{
     exchanges::{Line, Order, Report},
     session::RelayCapability,
@@ -164,11 +172,11 @@
             own: None,
         };
         if threads <= 1 {
-            lines.own = Some(lines.add(clock, reporter));
+            lines.own = Some(lines.add(clock, reporter, Arc::new(OwnProtocol)));
             return Ok((lines, workers));
         }
         for number in 1..threads {
-            let line = lines.add(clock, reporter.clone());
+            let line = lines.add(clock, reporter.clone(), Arc::new(OwnProtocol));
             let name = format!("leaf-{number}");
             let worker = Worker::spawn(name, |executor, _| line.run(executor));
             workers.push(worker.context("cannot start a thread; lower relay.threads")?);
@@ -177,13 +185,19 @@
     }
 
     /// Adds a line and returns its near end.
-    fn add(&mut self, clock: Clock, reports: Sender<Report>) -> Line {
+    fn add(
+        &mut self,
+        clock: Clock,
+        reports: Sender<Report>,
+        protocol: Arc<dyn LeafProtocol>,
+    ) -> Line {
         let (orders, taken) = unbounded();
         self.orders.push(orders);
         Line {
             clock,
             orders: taken,
             reports,
+            protocol,
         }
     }
 }
--- a/crates/guavacourse/src/edge/relay/outbox.rs
+++ b/crates/guavacourse/src/edge/relay/outbox.rs
@@ -34,8 +34,62 @@
 /// serving meanwhile; an entry that has not heard may lose calls.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// The way of replies to one entry.
+pub(super) enum Outbox {
+    /// To another process.
+    Remote(Remote),
+    /// Within this process.
+    Local(Box<dyn Fn(Reply)>),
+}
+
+impl Outbox {
+    /// Adds a reply.
+    pub(super) fn push(&self, reply: Reply) {
+        match self {
+            Self::Remote(remote) => remote.push(reply),
+            Self::Local(take) => take(reply),
+        }
+    }
+
+    /// Announces a content that crashes backend servers; returns once the entry
+    /// has heard. One in this process reads the published view.
+    pub(super) fn quarantine(&self, content: u64) -> Heard {
+        match self {
+            Self::Remote(remote) => remote.quarantine(content).boxed_local(),
+            Self::Local(_) => future::ready(()).boxed_local(),
+        }
+    }
+
+    /// Tells whether the entry has acknowledged everything.
+    pub(super) fn is_empty(&self) -> bool {
+        match self {
+            Self::Remote(remote) => remote.is_empty(),
+            Self::Local(_) => true,
+        }
+    }
+
+    /// Announces that the relay leaves; returns once the entry has heard. One
+    /// in this process leaves with it.
+    pub(super) fn leaving(&self) -> Heard {
+        match self {
+            Self::Remote(remote) => remote.leaving().boxed_local(),
+            Self::Local(_) => future::ready(()).boxed_local(),
+        }
+    }
+
+    /// Ends the task of the outbox.
+    pub(super) async fn join(self) {
+        if let Self::Remote(remote) = self {
+            remote.join().await;
+        }
+    }
+}
+
+/// Ends once an entry has heard an announcement.
+type Heard = BoxedLocal<()>;
+
 /// Collects replies and pushes all that became ready together.
-pub(super) struct Outbox {
+pub(super) struct Remote {
     shared: Rc<Shared>,
     sink: sink::Client,
     wake: channel::Sender<()>,
@@ -49,7 +103,7 @@
     unacked: Cell<usize>,
 }
 
-impl Outbox {
+impl Remote {
     /// Creates an outbox that pushes to `sink`.
     pub(super) fn new(executor: &LocalExecutor<'static>, sink: sink::Client) -> Self {
         let shared = Rc::<Shared>::default();
@@ -64,31 +118,31 @@
     }
 
     /// Adds a reply.
-    pub(super) fn push(&self, reply: Reply) {
+    fn push(&self, reply: Reply) {
         self.shared.ready.borrow_mut().push(reply);
         self.wake();
     }
 
     /// Announces a content that crashes backend servers; returns once the entry
     /// has heard.
-    pub(super) fn quarantine(&self, content: u64) -> impl Future<Output = ()> + 'static {
+    fn quarantine(&self, content: u64) -> impl Future<Output = ()> + 'static {
         let mut request = self.sink.quarantine_request();
         wire::write_numbers(request.get().init_fingerprints(1), &[content]);
         announced(request.send().promise, WARN_TIMEOUT)
     }
 
     /// Tells whether the entry has acknowledged everything.
-    pub(super) fn is_empty(&self) -> bool {
+    fn is_empty(&self) -> bool {
         self.shared.ready.borrow().is_empty() && self.shared.unacked.get() == 0
     }
 
     /// Announces that the relay leaves; returns once the entry has heard.
-    pub(super) fn leaving(&self) -> impl Future<Output = ()> + 'static {
+    fn leaving(&self) -> impl Future<Output = ()> + 'static {
         announced(self.sink.leaving_request().send().promise, LEAVE_TIMEOUT)
     }
 
     /// Ends the task of the outbox.
-    pub(super) async fn join(self) {
+    async fn join(self) {
         self.pump.cancel().await;
     }
 
--- a/crates/guavacourse/src/edge/relay/session.rs
+++ b/crates/guavacourse/src/edge/relay/session.rs
@@ -4,7 +4,10 @@
 
 use smol::LocalExecutor;
 
-use super::{outbox::Outbox, traffic::Traffic};
+use super::{
+    outbox::{Outbox, Remote},
+    traffic::Traffic,
+};
 use crate::{
     edge::wire,
     generated::wire_capnp::{relay, session},
@@ -31,7 +34,7 @@
         let params = params.get()?;
         let entry = params.get_entry()?.to_str()?;
         tracing::debug!(entry, "an entry opened a session");
-        let outbox = Outbox::new(&self.executor, params.get_sink()?);
+        let outbox = Outbox::Remote(Remote::new(&self.executor, params.get_sink()?));
         let opened = self.traffic.open(outbox);
         let id = opened.ok_or_else(|| capnp::Error::overloaded(LEAVING.to_owned()))?;
         let session = SessionCapability {
--- a/crates/guavacourse/src/edge/relay/traffic.rs
+++ b/crates/guavacourse/src/edge/relay/traffic.rs
@@ -279,13 +279,15 @@
             return;
         };
         let leaf = job.call.leaf;
-        let Some(address) = core.address(leaf) else {
+        let (Some(address), Some(name)) = (core.address(leaf), core.name(leaf)) else {
             return;
         };
+        let name = name.to_owned();
         drop(core);
         let dispatch = Dispatch {
             key,
             job,
+            leaf: name,
             address: address.0,
             fresh,
         };
--- a/crates/guavacourse/src/edge/tasks.rs
+++ b/crates/guavacourse/src/edge/tasks.rs
@@ -38,6 +38,14 @@
         kept.tasks.push(task);
     }
 
+    /// Cancels all tasks, and waits until they have ended.
+    pub(crate) async fn cancel(&self) {
+        let tasks = std::mem::take(&mut self.0.borrow_mut().tasks);
+        for task in tasks {
+            task.cancel().await;
+        }
+    }
+
     /// Waits for all tasks, and for those that they start.
     pub(crate) async fn join(&self) {
         loop {
--- a/crates/guavacourse/src/edge/wire.rs
+++ b/crates/guavacourse/src/edge/wire.rs
@@ -61,6 +61,7 @@
         calls: calls.collect(),
         alone: part.get_alone(),
         first: part.get_first(),
+        forward: None,
     })
 }
 
@@ -75,6 +76,8 @@
             Outcome::Rows(rows) => write_rows(out.init_rows(), rows),
             Outcome::NotRun(why) => out.set_not_run(not_run_to_wire(*why)),
             Outcome::Unknown(why) => out.set_unknown(unknown_to_wire(*why)),
+            // Forwarded requests stay in one process; no other sees this.
+            Outcome::Failed(_) => out.set_unknown(wire::Unknown::Malformed),
             Outcome::Elsewhere(held) => {
                 let mut slot = out.init_elsewhere();
                 slot.set_oldest(held.oldest);
@@ -128,6 +131,7 @@
         epoch: rows.get_epoch(),
         range: KeyRange::new(rows.get_from(), rows.get_until()),
         body: Arc::from(rows.get_body()?),
+        origin: None,
     })
 }
 
--- a/crates/guavacourse/src/modules/action.rs
+++ b/crates/guavacourse/src/modules/action.rs
@@ -205,6 +205,7 @@
         match &reply.outcome {
             Outcome::Rows(rows) => self.finish(ActionOutcome::Done(Arc::clone(&rows.body))),
             Outcome::Unknown(why) => self.finish(ActionOutcome::Unknown((*why).into())),
+            Outcome::Failed(_) => self.finish(ActionOutcome::Unknown(Unknown::Malformed.into())),
             Outcome::NotRun(why) if is_final(*why) => self.finish(not_run(*why)),
             Outcome::NotRun(why) => {
                 self.suspected |= *why == NotRun::Suspected;
@@ -287,6 +288,7 @@
             }],
             alone: self.suspected,
             first: self.first && !self.suspected,
+            forward: None,
         };
         let relay = choice.relay;
         vec![Step::Send { relay, part }]
--- a/crates/guavacourse/src/modules/admission.rs
+++ b/crates/guavacourse/src/modules/admission.rs
@@ -182,6 +182,12 @@
         self.gates.get(&leaf).map(|gate| gate.address)
     }
 
+    /// Returns the name of a leaf that was called.
+    #[must_use]
+    pub fn name(&self, leaf: LeafId) -> Option<&str> {
+        self.gates.get(&leaf).map(|gate| gate.name.as_str())
+    }
+
     /// Returns the number of calls without a reply yet.
     #[must_use]
     pub fn held(&self) -> usize {
@@ -363,7 +369,7 @@
         let gate = self
             .gates
             .entry(leaf)
-            .or_insert_with(|| Gate::new(entry.address, service.slots));
+            .or_insert_with(|| Gate::new(&entry.name, entry.address, service.slots));
         let mut moved = false;
         if gate.address != entry.address {
             gate.address = entry.address;
--- a/crates/guavacourse/src/modules/admission/gate.rs
+++ b/crates/guavacourse/src/modules/admission/gate.rs
@@ -35,6 +35,8 @@
 /// One leaf: its connections, its slots and its queue.
 #[derive(Debug)]
 pub(super) struct Gate {
+    /// Name of the leaf.
+    pub(super) name: String,
     pub(super) address: Address,
     /// Name of its service.
     pub(super) service: String,
@@ -75,8 +77,9 @@
 }
 
 impl Gate {
-    pub(super) fn new(address: Address, slots: u32) -> Self {
+    pub(super) fn new(name: impl Into<String>, address: Address, slots: u32) -> Self {
         Self {
+            name: name.into(),
             address,
             service: String::new(),
             replicas: 0,
--- a/crates/guavacourse/src/modules/answer.rs
+++ b/crates/guavacourse/src/modules/answer.rs
@@ -7,7 +7,7 @@
 use thiserror::Error;
 
 use super::{
-    call::{NotRun, Unknown},
+    call::{NotRun, Origin, Unknown},
     coverage::Coverage,
     exposure::Exposure,
     inventory::Address,
@@ -25,8 +25,13 @@
 /// Rows of one snapshot and what they cover.
 #[derive(Debug, Serialize)]
 pub struct AnswerBody {
-    /// JSON array of the rows of all covered shards.
-    pub rows: Box<RawValue>,
+    /// The rows of all covered shards.
+    pub rows: Content,
+    /// Signatures of the parts, where leaves sign their replies.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub signatures: Vec<String>,
+    /// Shards that the answer leaves out.
+    pub missing: usize,
     /// The one index version of all rows.
     pub index_version: u64,
     /// The one partition epoch of all rows.
@@ -37,6 +42,38 @@
     pub revision: u64,
 }
 
+/// The rows of an answer, in the format of its kind.
+#[derive(Clone, Debug, Serialize)]
+#[serde(untagged)]
+pub enum Content {
+    /// A JSON array.
+    Json(Box<RawValue>),
+    /// Fixed-size records, greatest first.
+    Records(Vec<u8>),
+    /// The reply of one leaf.
+    Whole(Whole),
+}
+
+impl Content {
+    /// Returns the JSON array; empty for other formats.
+    #[must_use]
+    pub fn get(&self) -> &str {
+        match self {
+            Self::Json(rows) => rows.get(),
+            Self::Records(_) | Self::Whole(_) => "[]",
+        }
+    }
+}
+
+/// A leaf's reply that its caller receives unchanged.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Whole {
+    /// What the leaf says of it.
+    pub origin: Arc<Origin>,
+    /// Its body.
+    pub body: Arc<[u8]>,
+}
+
 /// Why a query that was started has no answer.
 #[derive(Debug, Serialize)]
 pub struct Failure {
@@ -48,6 +85,9 @@
     pub not_run: bool,
     /// How far the request got.
     pub exposure: Exposure,
+    /// A failure that the one leaf of the request answered.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub reply: Option<Whole>,
     /// What was covered when the query ended.
     pub coverage: Coverage,
     /// Configuration revision that the query was planned with.
@@ -190,6 +230,8 @@
     NotRun(NotRun),
     /// It may have run.
     Unknown(Unknown),
+    /// The leaf answered with a failure.
+    Failed,
 }
 
 /// Joins JSON arrays into one, without parsing their elements.
--- a/crates/guavacourse/src/modules/call.rs
+++ b/crates/guavacourse/src/modules/call.rs
@@ -43,6 +43,33 @@
     /// Whether no leaf is known to have run the content: a leaf runs one such
     /// call of it at a time, and the others wait for the outcome.
     pub first: bool,
+    /// The caller's own request, for leaves that take it unchanged.
+    pub forward: Option<Arc<Forwarded>>,
+}
+
+/// A caller's request that leaves receive unchanged, but for its body, which
+/// stands in [`Part::body`].
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Forwarded {
+    /// Method.
+    pub method: String,
+    /// Path and query, byte for byte.
+    pub target: String,
+    /// The caller's id of the request, which leaves echo.
+    pub id: String,
+    /// Headers that concern both ends.
+    pub headers: Vec<(String, String)>,
+}
+
+/// What a leaf says of a reply that its caller receives unchanged.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
+pub struct Origin {
+    /// HTTP status.
+    pub status: u16,
+    /// The leaf's signature of the reply.
+    pub signature: String,
+    /// Type of the body; empty if the leaf gave none.
+    pub media: String,
 }
 
 /// One leaf call.
@@ -80,6 +107,8 @@
     Unknown(Unknown),
     /// The leaf does not hold the pinned version or epoch, and ran nothing.
     Elsewhere(Held),
+    /// The leaf ran the call and answered with a failure.
+    Failed(Failed),
 }
 
 /// Rows of one leaf.
@@ -93,7 +122,18 @@
     pub epoch: u64,
     /// Keys that the rows cover.
     pub range: KeyRange,
-    /// JSON array of rows.
+    /// JSON array of rows, or what the kind's format says.
+    pub body: Arc<[u8]>,
+    /// What the leaf says of the reply to a forwarded request.
+    pub origin: Option<Arc<Origin>>,
+}
+
+/// A failure that a leaf answered a forwarded request with, after it ran it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Failed {
+    /// What the leaf says of it.
+    pub origin: Arc<Origin>,
+    /// Its body.
     pub body: Arc<[u8]>,
 }
 
--- a/crates/guavacourse/src/modules/catalog.rs
+++ b/crates/guavacourse/src/modules/catalog.rs
@@ -4,7 +4,7 @@
 
 use super::{
     collections::Map,
-    inventory::{Address, Class, Config, Instance, Kind, LeafState, Policy},
+    inventory::{Address, CallerLimits, Class, Config, Instance, Kind, LeafState, Policy},
     keys::KeyRange,
 };
 
@@ -119,8 +119,15 @@
     pub services: SlotMap<ServiceKey, ServiceEntry>,
     /// Leaves by their identity across revisions.
     pub ids: Map<LeafId, LeafKey>,
+    /// Services by name.
+    pub service_names: Map<String, ServiceKey>,
     /// Kinds by name.
     pub kinds: Map<String, KindEntry>,
+    /// Prefixes and names of the kinds that are forwarded, by host, the longest
+    /// prefix first.
+    pub forwards: Map<String, Vec<(String, String)>>,
+    /// Bounds on forwarded requests.
+    pub callers: Option<CallerLimits>,
 }
 
 impl Catalog {
@@ -132,26 +139,28 @@
             epoch: config.epoch,
             policy: config.policy,
             instances: config.instances.clone(),
+            callers: config.callers,
             ..Self::default()
         };
         for dc in &config.data_centres {
             catalog.regions.insert(dc.name.clone(), dc.region.clone());
         }
-        let mut names: Map<&str, ServiceKey> = Map::default();
         for service in &config.services {
-            names.insert(&service.name, catalog.add_service(service));
+            let key = catalog.add_service(service);
+            catalog.service_names.insert(service.name.clone(), key);
         }
         for kind in &config.kinds {
             let shards = kind
                 .services
                 .iter()
-                .filter_map(|name| names.get(name.as_str()))
+                .filter_map(|name| catalog.service_names.get(name))
                 .flat_map(|key| catalog.services[*key].shards.clone())
                 .collect();
             let entry = KindEntry {
                 rules: kind.clone(),
                 shards,
             };
+            catalog.add_forward(kind);
             catalog.kinds.insert(kind.name.clone(), entry);
         }
         catalog
@@ -163,6 +172,25 @@
         self.leaves.get(*self.ids.get(&id)?)
     }
 
+    /// Returns the shard of a service that holds exactly `range`.
+    #[must_use]
+    pub fn shard_of(&self, service: &str, range: KeyRange) -> Option<ShardKey> {
+        let service = self.service_names.get(service)?;
+        let shards = self.services[*service].shards.iter().copied();
+        let mut fitting = shards.filter(|shard| self.shards[*shard].range == range);
+        fitting.next()
+    }
+
+    /// Returns the kind as which a caller's request is forwarded: of those of
+    /// its host, the one whose prefix is the longest that begins the path.
+    #[must_use]
+    pub fn forwarded(&self, host: &str, path: &str) -> Option<&KindEntry> {
+        let kinds = self.forwards.get(host)?.iter();
+        let mut fitting = kinds.filter(|(prefix, _)| path.starts_with(prefix.as_str()));
+        let (_, name) = fitting.next()?;
+        self.kinds.get(name)
+    }
+
     /// Tells whether content that no leaf is known to have run goes ahead with
     /// one call of a kind.
     pub(crate) fn canary(&self, rules: &Kind) -> bool {
@@ -181,6 +209,16 @@
             .find(|shard| self.shards[*shard].range.contains(key))
     }
 
+    fn add_forward(&mut self, kind: &Kind) {
+        let Some(forward) = &kind.forward else {
+            return;
+        };
+        let kinds = self.forwards.entry(forward.host.clone()).or_default();
+        let shorter = |(prefix, _): &(String, String)| prefix.len() >= forward.prefix.len();
+        let at = kinds.partition_point(shorter);
+        kinds.insert(at, (forward.prefix.clone(), kind.name.clone()));
+    }
+
     fn add_service(&mut self, service: &super::inventory::Service) -> ServiceKey {
         let key = self.services.insert(ServiceEntry {
             name: service.name.clone(),
--- /dev/null
+++ b/crates/guavacourse/src/modules/directory.rs
@@ -0,0 +1,337 @@
+//! Configuration and backend servers as a registry shows them.
+//!
+//! The registry is the platform's store: the operators write the configuration
+//! there, and leaves register themselves. What is learned never goes back: not
+//! to a lower version, nor to an earlier state of a leaf. An entry that is
+//! missing after an outage of the registry is kept for a while, as the leaf may
+//! live and register again.
+
+use std::{sync::Arc, time::Duration};
+
+use super::{
+    catalog::{Catalog, LeafId},
+    collections::{Map, Set},
+    inventory::{Address, CallerLimits, Config, DataCentre, Kind, Leaf, LeafState, Service},
+    keys::KEY_SPACE,
+    members::MemberState,
+    time::Time,
+};
+
+/// Time after an outage in which a leaf that lives registers again.
+const RETURN_TIME: Duration = Duration::from_millis(2_200);
+
+/// Leaves that are remembered after they have left, so that an old entry does
+/// not bring them back.
+const PAST_MAX: usize = 4_096;
+
+/// Connections to a leaf, where the configuration does not bound them.
+const CONNECTIONS: u32 = 16;
+
+/// One version of the operators' configuration.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Deployment {
+    /// Its version; higher ones are newer.
+    pub version: u64,
+    /// Kinds of request.
+    pub kinds: Vec<Kind>,
+    /// Connections that one leaf accepts from the whole fleet, by service.
+    pub connections: Map<String, u32>,
+    /// Bounds on what callers may send.
+    pub callers: CallerLimits,
+}
+
+/// What a leaf says of itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LeafRecord {
+    /// Its name.
+    pub name: String,
+    /// Its service.
+    pub service: String,
+    /// Where it serves HTTP.
+    pub address: Address,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Requests that it runs at a time.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub state: MemberState,
+    /// Its incarnation: grows with each start.
+    pub born: u64,
+    /// Number of the record among those of the incarnation.
+    pub sequence: u64,
+}
+
+/// A change that the registry shows.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change {
+    /// A configuration was written.
+    Deployed(Box<Deployment>),
+    /// A leaf wrote its entry.
+    Leaf(LeafRecord),
+    /// The entry of a leaf is gone.
+    LeafGone(String),
+    /// A process of the fleet registered.
+    Member(String),
+    /// A process of the fleet is gone.
+    MemberGone(String),
+    /// An entry cannot be read.
+    Unreadable {
+        /// Its key.
+        key: String,
+        /// What is wrong with it.
+        fault: String,
+    },
+}
+
+/// All that the registry holds.
+#[derive(Clone, Debug, Default)]
+pub struct Reading {
+    /// Revision from which later changes are asked for.
+    pub as_of: u64,
+    /// What it holds, or what has changed.
+    pub changes: Vec<Change>,
+}
+
+/// What one process knows of the configuration and the leaves.
+#[derive(Debug, Default)]
+pub struct Directory {
+    regions: Map<String, String>,
+    deployment: Option<Deployment>,
+    leaves: Map<String, Held>,
+    past: Map<String, (u64, u64)>,
+    members: Set<String>,
+    /// When the registry last could not be read.
+    outage: Option<Time>,
+}
+
+#[derive(Clone, Debug)]
+struct Held {
+    record: LeafRecord,
+    /// When an entry that is missing after an outage counts as gone.
+    until: Option<Time>,
+}
+
+impl Directory {
+    /// Creates an empty directory; `regions` names the region of each data
+    /// centre.
+    #[must_use]
+    pub fn new(regions: Map<String, String>) -> Self {
+        Self {
+            regions,
+            ..Self::default()
+        }
+    }
+
+    /// Notes that the registry could not be read.
+    pub fn outage(&mut self, now: Time) {
+        self.outage = Some(now);
+    }
+
+    /// Takes in one change. Returns whether anything is different now.
+    pub fn apply(&mut self, change: Change, now: Time) -> bool {
+        match change {
+            Change::Deployed(deployment) => self.deploy(*deployment),
+            Change::Leaf(record) => self.register(record),
+            Change::LeafGone(name) => self.gone(&name, now),
+            Change::Member(name) => self.members.insert(name),
+            Change::MemberGone(name) => self.members.remove(&name),
+            Change::Unreadable { key, fault } => {
+                tracing::warn!(key, fault, "an entry of the registry cannot be read");
+                false
+            }
+        }
+    }
+
+    /// Takes in a whole reading. Returns whether anything is different now.
+    pub fn replace(&mut self, reading: Reading, now: Time) -> bool {
+        let mut listed = Set::default();
+        let mut members = Set::default();
+        let mut changed = false;
+        for change in reading.changes {
+            match &change {
+                Change::Leaf(record) => drop(listed.insert(record.name.clone())),
+                Change::Member(name) => drop(members.insert(name.clone())),
+                _ => {}
+            }
+            changed |= self.apply(change, now);
+        }
+        let missing = self.leaves.keys().filter(|name| !listed.contains(*name));
+        let missing: Vec<String> = missing.cloned().collect();
+        for name in missing {
+            changed |= self.gone(&name, now);
+        }
+        changed |= self.members != members;
+        self.members = members;
+        changed
+    }
+
+    /// Drops leaves that have not registered again after an outage. Returns
+    /// whether there were any.
+    pub fn tick(&mut self, now: Time) -> bool {
+        let late = |held: &Held| held.until.is_some_and(|until| now >= until);
+        let late = self.leaves.iter().filter(|(_, held)| late(held));
+        let late: Vec<String> = late.map(|(name, _)| name.clone()).collect();
+        for name in &late {
+            self.forget(name);
+        }
+        !late.is_empty()
+    }
+
+    /// Returns when [`Self::tick`] is due; none if nothing waits.
+    #[must_use]
+    pub fn next_tick(&self) -> Option<Time> {
+        self.leaves.values().filter_map(|held| held.until).min()
+    }
+
+    /// Returns the version in force; 0 if there is none.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.deployment.as_ref().map_or(0, |d| d.version)
+    }
+
+    /// Returns the names of the processes of the fleet.
+    #[must_use]
+    pub fn members(&self) -> &Set<String> {
+        &self.members
+    }
+
+    /// Returns the incarnation of each leaf.
+    #[must_use]
+    pub fn incarnations(&self) -> Map<LeafId, u64> {
+        let leaves = self.leaves.iter();
+        leaves
+            .map(|(name, held)| (LeafId::of(name), held.record.born))
+            .collect()
+    }
+
+    /// Compiles what is known for the request path.
+    #[must_use]
+    pub fn catalog(&self) -> Arc<Catalog> {
+        let Some(deployment) = &self.deployment else {
+            return Arc::default();
+        };
+        let data_centres = self.regions.iter().map(|(name, region)| DataCentre {
+            name: name.clone(),
+            region: region.clone(),
+        });
+        let config = Config {
+            data_centres: data_centres.collect(),
+            services: self.services(deployment),
+            kinds: deployment.kinds.clone(),
+            callers: Some(deployment.callers),
+            ..Config::default()
+        };
+        Arc::new(Catalog::new(deployment.version, &config))
+    }
+
+    /// Returns every service that has leaves, also those that no kind names:
+    /// requests under way may still need them.
+    fn services(&self, deployment: &Deployment) -> Vec<Service> {
+        let members = u32::try_from(self.members.len().max(1)).unwrap_or(u32::MAX);
+        let mut services: Map<&str, Service> = Map::default();
+        for held in self.leaves.values() {
+            let record = &held.record;
+            let service = services.entry(&record.service).or_default();
+            service.name.clone_from(&record.service);
+            service.slots = service.slots.max(record.slots);
+            service.leaves.push(leaf(record));
+        }
+        let mut services: Vec<Service> = services.into_values().collect();
+        for service in &mut services {
+            let most = deployment.connections.get(&service.name).copied();
+            let own = most.unwrap_or(CONNECTIONS) / members;
+            service.connections = own.max(1);
+            service.leaves.sort_unstable_by(|a, b| a.name.cmp(&b.name));
+        }
+        services.sort_unstable_by(|a, b| a.name.cmp(&b.name));
+        services
+    }
+
+    fn deploy(&mut self, deployment: Deployment) -> bool {
+        let held = self.version();
+        if deployment.version <= held {
+            if deployment.version < held {
+                tracing::warn!(
+                    held,
+                    offered = deployment.version,
+                    "an older configuration is not put in force"
+                );
+            }
+            return false;
+        }
+        tracing::info!(version = deployment.version, "a configuration is in force");
+        self.deployment = Some(deployment);
+        true
+    }
+
+    fn register(&mut self, record: LeafRecord) -> bool {
+        let stamp = (record.born, record.sequence);
+        let held = self.leaves.get(&record.name);
+        let known = held.map(|held| (held.record.born, held.record.sequence));
+        let known = known.or_else(|| self.past.get(&record.name).copied());
+        if known.is_some_and(|known| stamp < known) {
+            tracing::debug!(leaf = record.name, "an old entry of a leaf is ignored");
+            return false;
+        }
+        self.past.remove(&record.name);
+        let told = |r: &LeafRecord| (r.service.clone(), r.address, r.slots, r.state, r.born);
+        let same = held.is_some_and(|h| told(&h.record) == told(&record));
+        if !same {
+            let state = record.state;
+            tracing::info!(
+                leaf = record.name,
+                ?state,
+                born = record.born,
+                "a leaf registered"
+            );
+        }
+        let until = None;
+        self.leaves
+            .insert(record.name.clone(), Held { record, until });
+        !same
+    }
+
+    /// Takes in that the entry of a leaf is missing.
+    fn gone(&mut self, name: &str, now: Time) -> bool {
+        let Some(held) = self.leaves.get_mut(name) else {
+            return false;
+        };
+        let returns = self.outage.map(|outage| outage.after(RETURN_TIME));
+        match returns.filter(|returns| now < *returns) {
+            Some(returns) => {
+                held.until.get_or_insert(returns);
+                false
+            }
+            None if held.until.is_some_and(|until| now < until) => false,
+            None => {
+                self.forget(name);
+                true
+            }
+        }
+    }
+
+    fn forget(&mut self, name: &str) {
+        if let Some(held) = self.leaves.remove(name) {
+            tracing::info!(leaf = name, "the entry of a leaf is gone");
+            if self.past.len() >= PAST_MAX {
+                self.past.clear();
+            }
+            let stamp = (held.record.born, held.record.sequence);
+            self.past.insert(name.to_owned(), stamp);
+        }
+    }
+}
+
+fn leaf(record: &LeafRecord) -> Leaf {
+    Leaf {
+        name: record.name.clone(),
+        data_centre: record.data_centre.clone(),
+        address: record.address,
+        from: 0,
+        until: KEY_SPACE,
+        state: match record.state {
+            MemberState::Live => LeafState::Serving,
+            MemberState::Leaving => LeafState::Leaving,
+        },
+    }
+}
--- a/crates/guavacourse/src/modules/exposure.rs
+++ b/crates/guavacourse/src/modules/exposure.rs
@@ -28,7 +28,7 @@
         match outcome {
             Outcome::NotRun(NotRun::Cancelled) => Self::Unsent,
             Outcome::NotRun(_) | Outcome::Elsewhere(_) => Self::Refused,
-            Outcome::Rows(_) | Outcome::Unknown(_) => Self::MaybeRun,
+            Outcome::Failed(_) | Outcome::Rows(_) | Outcome::Unknown(_) => Self::MaybeRun,
         }
     }
 
--- a/crates/guavacourse/src/modules/inventory.rs
+++ b/crates/guavacourse/src/modules/inventory.rs
@@ -25,6 +25,25 @@
     pub services: Vec<Service>,
     /// Kinds of request.
     pub kinds: Vec<Kind>,
+    /// Bounds on forwarded requests; those of the settings if not given.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub callers: Option<CallerLimits>,
+}
+
+/// Bounds on what a caller may send and how long it may take.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
+pub struct CallerLimits {
+    /// Largest head of a request, in bytes.
+    pub head_max: usize,
+    /// Largest body of a request, in bytes.
+    pub body_max: usize,
+    /// Longest time that a request may take to arrive.
+    #[serde(with = "humantime_serde")]
+    pub arrival: Duration,
+    /// Longest time that a connection may stay idle.
+    #[serde(with = "humantime_serde")]
+    pub idle: Duration,
 }
 
 /// Which set of decisions the fleet takes.
@@ -148,6 +167,13 @@
     pub canary: bool,
     /// Part of requests to be served well, for the burn report.
     pub objective: f64,
+    /// How the replies of the leaves are joined.
+    #[serde(skip_serializing_if = "Format::is_json")]
+    pub format: Format,
+    /// Which requests of callers are forwarded as this kind; none if callers
+    /// name the kind.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub forward: Option<Forward>,
 }
 
 impl Default for Kind {
@@ -164,10 +190,50 @@
             retry_budget: 0.1,
             canary: true,
             objective: 0.99,
+            format: Format::Json,
+            forward: None,
         }
     }
 }
 
+/// How the replies of the leaves are joined to one answer.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Format {
+    /// JSON arrays of rows, joined in the order of the shards.
+    #[default]
+    Json,
+    /// Records of [`RECORD_BYTES`](super::records::RECORD_BYTES), of which the
+    /// greatest so many are kept.
+    Greatest(u32),
+    /// The reply of the one leaf that was called, unchanged.
+    Whole,
+}
+
+impl Format {
+    fn is_json(&self) -> bool {
+        *self == Self::Json
+    }
+}
+
+/// Which requests are forwarded as a kind, and within which bounds.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Forward {
+    /// Host that the caller names.
+    pub host: String,
+    /// Start of the path, from slash to slash. The longest that fits counts.
+    pub prefix: String,
+    /// Weights of the kind's services, one each, if a request goes to one of
+    /// them; empty if it goes to all.
+    pub weights: Vec<f64>,
+    /// Most leaves of a shard that may run one request; 0 sets no limit.
+    pub attempts: u32,
+    /// Time within which an answer is of full use to its caller.
+    #[serde(with = "humantime_serde")]
+    pub target: Duration,
+}
+
 /// Whether requests of a kind may be repeated.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/guavacourse/src/modules/query.rs
+++ b/crates/guavacourse/src/modules/query.rs
@@ -20,11 +20,12 @@
     turn::Turn,
 };
 use super::{
-    answer::{Answer, Cause, Reason, Refusal, Trace},
-    call::{AttemptId, Outcome, Part, Reply, Unknown, fingerprint},
+    answer::{Answer, Cause, Reason, Refusal, Trace, Whole},
+    call::{AttemptId, Forwarded, NotRun, Outcome, Part, Reply, Unknown, fingerprint},
+    catalog::stable_hash,
     coverage::Tally,
     exposure::Exposure,
-    inventory::{Address, Policy},
+    inventory::{Address, Format, Policy},
     snapshot::Pin,
     tier::Tier,
     time::{Time, micros},
@@ -42,6 +43,18 @@
     pub least_coverage: Option<f64>,
     /// Body for the leaves.
     pub body: Arc<[u8]>,
+    /// The caller's own request, if leaves receive it unchanged.
+    pub forward: Option<Arc<Forwarded>>,
+}
+
+impl QueryRequest {
+    /// Returns the fingerprint of the content, equal for a repeated request.
+    #[must_use]
+    pub fn fingerprint(&self) -> u64 {
+        let own = fingerprint(&self.kind, &self.body);
+        let target = self.forward.as_ref().map(|forward| &forward.target);
+        target.map_or(own, |target| own ^ stable_hash(target.as_bytes()))
+    }
 }
 
 /// What the driver does next.
@@ -73,13 +86,22 @@
 }
 
 /// What the rules and the caller ask of one query.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Terms {
     deadline: Time,
     settle: Option<Time>,
     least: f64,
     worth: u32,
     policy: Policy,
+    format: Format,
+    /// Services that the query touches.
+    services: Vec<String>,
+    /// Whether a call that may have run may be repeated.
+    repeatable: bool,
+    /// Time from which a call without a reply is late for the caller's target.
+    late: Option<Duration>,
+    /// Whether leaves receive the caller's own request.
+    forwarded: bool,
 }
 
 /// A query under way.
@@ -99,6 +121,10 @@
     /// Relays of the leaves that closed the connection on this query.
     suspecting: Vec<Address>,
     exposure: Exposure,
+    /// Latest failure that a leaf answered.
+    failed: Option<Whole>,
+    /// Revision of the plan.
+    revision: u64,
     trace: Trace,
     open: usize,
     stalled: bool,
@@ -118,18 +144,20 @@
         request: QueryRequest,
         now: Time,
     ) -> Result<(Self, Vec<Step>), Refusal> {
-        let digest = fingerprint(&request.kind, &request.body);
+        let digest = request.fingerprint();
         let kind = admission::check(&view, &request, digest)?;
         let rules = &kind.rules;
         let canary = view.catalog.canary(rules);
-        let terms = admission::terms(&view, rules, &request, now);
         tier.sync(&view);
+        let services = tier.services_for(rules);
+        let terms = admission::terms(&view, rules, &request, services, now);
         let adaptive = terms.policy == Policy::Adaptive;
         if adaptive && !tier.kind(&request.kind).throttle.start() {
             return Err(Refusal::Overloaded(request.kind));
         }
-        let slots = slots(&view, kind);
-        let tally = Tally::new(&rules.services);
+        let slots = slots(&view, kind, &terms.services);
+        let tally = Tally::new(&terms.services);
+        tier.count_request(&terms.services, now);
         let stats = tier.kind(&request.kind);
         let calls = u32::try_from(slots.len()).unwrap_or(u32::MAX);
         stats.hedges.earn(calls, rules.hedge_budget);
@@ -142,6 +170,8 @@
         };
         let mut query = Self {
             pin: Pin::open(view.catalog.epoch),
+            revision: view.catalog.revision,
+            failed: None,
             view,
             newer: None,
             request,
@@ -179,7 +209,9 @@
         let flight = self.flights.0[index];
         tier.replied(&self.request.kind, &flight, &reply, now);
         self.exposure = self.exposure.merge(Exposure::of(&reply.outcome));
-        self.slots[flight.slot].pending -= 1;
+        let slot = &mut self.slots[flight.slot];
+        slot.pending -= 1;
+        slot.arrived |= arrived(&reply.outcome);
         let mut turn = Turn::new(tier, now);
         let ran = survived(&reply.outcome);
         let ended = self.take(flight, reply.outcome, &mut turn);
@@ -214,6 +246,9 @@
             self.view = view;
             return;
         }
+        if self.terms.forwarded {
+            return self.follow(view);
+        }
         self.newer = Some(view);
         if self.stalled {
             self.wake = Time::default();
@@ -237,7 +272,7 @@
         let enough = self.tally.fraction() >= self.terms.least;
         let settled = self.terms.settle.is_some_and(|at| turn.now >= at) && enough && self.open > 0;
         let late = turn.now >= self.terms.deadline;
-        if self.open > 0 && !settled && !late {
+        if self.open > 0 && !settled && !late && !self.hopeless() {
             return turn.into_steps();
         }
         self.finished = true;
@@ -257,6 +292,20 @@
         steps
     }
 
+    /// Tells whether the least coverage is out of reach.
+    fn hopeless(&self) -> bool {
+        if !self.terms.forwarded {
+            return false;
+        }
+        let merged = self.slots.iter().filter(|slot| slot.body.is_some()).count();
+        share(merged + self.open, self.planned()) < self.terms.least
+    }
+
+    /// Returns the number of shards planned, those without a leaf included.
+    fn planned(&self) -> usize {
+        self.slots.len().max(self.terms.services.len())
+    }
+
     /// Tells the throttle how the query ended.
     fn count_end(&self, enough: bool, turn: &mut Turn<'_>) {
         if self.terms.policy != Policy::Adaptive {
@@ -288,10 +337,26 @@
     }
 }
 
+/// Tells whether a call reached a leaf, whatever became of it there.
+fn arrived(outcome: &Outcome) -> bool {
+    match outcome {
+        Outcome::Rows(_) | Outcome::Unknown(_) | Outcome::Elsewhere(_) | Outcome::Failed(_) => true,
+        Outcome::NotRun(why) => {
+            matches!(why, NotRun::Shed | NotRun::Draining | NotRun::Expired)
+        }
+    }
+}
+
+/// Returns a count as a part of another.
+#[allow(clippy::cast_precision_loss, reason = "numbers of shards are small")]
+fn share(part: usize, whole: usize) -> f64 {
+    part as f64 / whole.max(1) as f64
+}
+
 /// Tells whether a backend server ran the content and lived.
 fn survived(outcome: &Outcome) -> bool {
     match outcome {
-        Outcome::Rows(_) => true,
+        Outcome::Rows(_) | Outcome::Failed(_) => true,
         Outcome::Unknown(why) => !matches!(why, Unknown::Closed | Unknown::Timeout),
         Outcome::NotRun(_) | Outcome::Elsewhere(_) => false,
     }
--- a/crates/guavacourse/src/modules/query/admission.rs
+++ b/crates/guavacourse/src/modules/query/admission.rs
@@ -11,6 +11,10 @@
     view::View,
 };
 
+/// Part of the caller's target after which a call without a reply is repeated:
+/// a copy that takes the usual time still ends within the target.
+const LATE_PART: f64 = 0.3;
+
 /// Returns the kind of a request, or why the request is refused.
 pub(super) fn check<'a>(
     view: &'a View,
@@ -23,7 +27,7 @@
     let Some(kind) = view.catalog.kinds.get(&request.kind) else {
         return Err(Refusal::UnknownKind(request.kind.clone()));
     };
-    if kind.rules.class != Class::Query {
+    if kind.rules.class != Class::Query && request.forward.is_none() {
         return Err(Refusal::NotAQuery(request.kind.clone()));
     }
     if kind.rules.services.is_empty() {
@@ -44,7 +48,14 @@
 
 /// Returns the terms of a request: the caller may ask for less time. The plain
 /// policy waits for all shards until the deadline.
-pub(super) fn terms(view: &View, rules: &Kind, request: &QueryRequest, now: Time) -> Terms {
+pub(super) fn terms(
+    view: &View,
+    rules: &Kind,
+    request: &QueryRequest,
+    services: Vec<String>,
+    now: Time,
+) -> Terms {
+    let target = rules.forward.as_ref().map(|forward| forward.target);
     let asked = request.deadline.unwrap_or(rules.deadline);
     let policy = view.catalog.policy;
     let settles = policy == Policy::Adaptive && !rules.settle.is_zero();
@@ -54,5 +65,10 @@
         least: request.least_coverage.unwrap_or(rules.least_coverage),
         worth: rules.worth,
         policy,
+        format: rules.format,
+        services,
+        repeatable: rules.class == Class::Query,
+        late: target.map(|target| target.mul_f64(LATE_PART)),
+        forwarded: request.forward.is_some(),
     }
 }
--- a/crates/guavacourse/src/modules/query/calls.rs
+++ b/crates/guavacourse/src/modules/query/calls.rs
@@ -65,13 +65,24 @@
             self.slots[index].forget_all();
             return;
         };
-        if charged && !plain && !turn.tier.kind(&self.request.kind).retries.spend() {
+        if !plain && !self.pay(index, charged, turn) {
             self.trace.denied += 1;
             return;
         }
         self.call(index, choice, Cause::Retry, turn);
     }
 
+    /// Takes a retry out of its budget, if it is charged to one.
+    fn pay(&self, index: usize, charged: bool, turn: &mut Turn<'_>) -> bool {
+        let slot = &self.slots[index];
+        let service = &self.terms.services[slot.service];
+        if self.terms.forwarded && !slot.arrived {
+            return true;
+        }
+        let shared = turn.tier.spend_extra(service, turn.now);
+        shared.unwrap_or_else(|| !charged || turn.tier.kind(&self.request.kind).retries.spend())
+    }
+
     pub(super) fn on_slot_timer(&mut self, index: usize, turn: &mut Turn<'_>) {
         let slot = &self.slots[index];
         if !slot.open() {
@@ -101,13 +112,20 @@
             return;
         }
         let stats = turn.tier.kind(&self.request.kind);
-        if stats.pressure.saturated() || !stats.hedges.spend() {
+        if stats.pressure.saturated() || !self.pay_hedge(index, turn) {
             self.trace.denied += 1;
             return;
         }
         self.call(index, choice, Cause::Hedge, turn);
     }
 
+    /// Takes a hedge out of its budget.
+    fn pay_hedge(&self, index: usize, turn: &mut Turn<'_>) -> bool {
+        let service = &self.terms.services[self.slots[index].service];
+        let shared = turn.tier.spend_extra(service, turn.now);
+        shared.unwrap_or_else(|| turn.tier.kind(&self.request.kind).hedges.spend())
+    }
+
     /// Looks for another replica after a leaf refused a hedge.
     pub(super) fn hedge_elsewhere(&mut self, index: usize, turn: &mut Turn<'_>) {
         turn.tier.kind(&self.request.kind).hedges.refund();
@@ -130,7 +148,7 @@
         }
         let other = other.filter(|choice| !turn.tier.avoided(choice.id, turn.now));
         let late = self.flights.pending_of(index)?;
-        if slot.pending > 1 || slot.calls_to(late.leaf) > 1 {
+        if self.terms.forwarded || slot.pending > 1 || slot.calls_to(late.leaf) > 1 {
             return other;
         }
         let slots = self.view.catalog.services[self.view.catalog.shards[slot.shard].service].slots;
@@ -209,11 +227,16 @@
         let slot = &mut self.slots[index];
         slot.called(choice.id);
         slot.hedge = Time::MAX;
-        if self.terms.policy == Policy::Adaptive && slot.pending <= MAX_COPIES {
+        let adaptive = self.terms.policy == Policy::Adaptive;
+        if adaptive && self.terms.repeatable && slot.pending <= MAX_COPIES {
+            let late = self
+                .terms
+                .late
+                .map_or(Time::MAX, |late| turn.now.after(late));
             slot.hedge = if probe {
                 turn.now
             } else {
-                copy_time(choice.id, turn)
+                copy_time(choice.id, turn).min(round_up(late))
             };
         }
         self.wake = self.wake.min(slot.hedge);
@@ -254,6 +277,7 @@
             calls: Vec::new(),
             alone: self.suspicion.testing(),
             first: self.canary != Canary::Over && !self.suspicion.testing(),
+            forward: self.request.forward.clone(),
         }
     }
 
--- a/crates/guavacourse/src/modules/query/plan.rs
+++ b/crates/guavacourse/src/modules/query/plan.rs
@@ -4,7 +4,7 @@
 
 use crate::modules::{
     answer::{Cause, Ended},
-    call::{AttemptId, Call, NotRun, Part},
+    call::{AttemptId, Call, NotRun, Origin, Part},
     catalog::{KindEntry, LeafId, ShardKey},
     collections::Map,
     inventory::Address,
@@ -29,6 +29,14 @@
     pub(crate) range: KeyRange,
     /// Rows merged.
     pub(crate) body: Option<Arc<[u8]>>,
+    /// What the leaf says of them.
+    pub(crate) origin: Option<Arc<Origin>>,
+    /// Whether a call has reached a leaf, so that any other is extra load.
+    pub(crate) arrived: bool,
+    /// Calls that may have run.
+    pub(crate) exposed: u32,
+    /// Most of them; 0 sets no limit.
+    pub(crate) attempts: u32,
     /// Calls under way.
     pub(crate) pending: u8,
     /// Whether nothing more is tried.
@@ -109,7 +117,7 @@
 
     /// Tells whether another call is allowed.
     pub(crate) fn may_call(&self) -> bool {
-        self.calls < MAX_CALLS
+        self.calls < MAX_CALLS && (self.attempts == 0 || self.exposed < self.attempts)
     }
 
     /// Tells whether the slot still waits for rows.
@@ -133,16 +141,31 @@
             self.calls += 1;
         }
         self.pending += 1;
+        self.exposed += 1;
         self.retry = Time::MAX;
     }
 
+    /// Notes that a call provably did not run.
+    pub(crate) fn not_run(&mut self) {
+        self.exposed = self.exposed.saturating_sub(1);
+    }
+
     /// Starts afresh on another snapshot.
     pub(crate) fn reset(&mut self) {
-        *self = Self::new(self.shard, self.service, self.range);
+        *self = Self {
+            arrived: self.arrived,
+            exposed: self.exposed,
+            attempts: self.attempts,
+            ..Self::new(self.shard, self.service, self.range)
+        };
     }
 
     fn new(shard: ShardKey, service: usize, range: KeyRange) -> Self {
         Self {
+            origin: None,
+            arrived: false,
+            exposed: 0,
+            attempts: 0,
             shard,
             service,
             range,
@@ -159,15 +182,20 @@
     }
 }
 
-/// Returns a slot for each shard of a kind.
-pub(crate) fn slots(view: &View, kind: &KindEntry) -> Vec<Slot> {
+/// Returns a slot for each shard of those services of a kind that a query
+/// touches.
+pub(crate) fn slots(view: &View, kind: &KindEntry, names: &[String]) -> Vec<Slot> {
     let catalog = &view.catalog;
-    let names = &kind.rules.services;
+    let forward = kind.rules.forward.as_ref();
+    let attempts = forward.map_or(0, |forward| forward.attempts);
     let slots = kind.shards.iter().filter_map(|key| {
         let shard = catalog.shards.get(*key)?;
         let name = &catalog.services[shard.service].name;
         let service = names.iter().position(|other| other == name)?;
-        Some(Slot::new(*key, service, shard.range))
+        Some(Slot {
+            attempts,
+            ..Slot::new(*key, service, shard.range)
+        })
     });
     slots.collect()
 }
--- a/crates/guavacourse/src/modules/query/replies.rs
+++ b/crates/guavacourse/src/modules/query/replies.rs
@@ -6,8 +6,9 @@
     turn::Turn,
 };
 use crate::modules::{
-    answer::{Cause, Ended, is_array},
-    call::{Held, NotRun, Outcome, Rows, Unknown},
+    answer::{Cause, Ended, Whole, is_array},
+    call::{Failed, Held, NotRun, Outcome, Rows, Unknown},
+    inventory::Format,
     snapshot::Verdict,
 };
 
@@ -28,6 +29,10 @@
                 self.take_unknown(flight, why, turn);
                 Ended::Unknown(why)
             }
+            Outcome::Failed(failed) => {
+                self.take_failed(flight, failed, turn);
+                Ended::Failed
+            }
         }
     }
 
@@ -37,7 +42,7 @@
             turn.clear(&self.suspecting, self.trace.fingerprint);
         }
         let planned = self.slots[flight.slot].range;
-        let verdict = if is_array(&rows.body) {
+        let verdict = if self.terms.format != Format::Json || is_array(&rows.body) {
             self.pin.judge(flight.version, planned, &rows)
         } else {
             Verdict::Discard
@@ -70,6 +75,7 @@
             return Ended::Mismatched;
         }
         slot.body = Some(rows.body);
+        slot.origin = rows.origin;
         if slot.pending > 0 {
             self.cancel(Some(flight.slot), Some(flight.id), turn);
         }
@@ -81,6 +87,7 @@
             self.trace.newer_epoch = self.trace.newer_epoch.max(Some(held.epoch));
         }
         self.suspicion.not_run(flight.id);
+        self.slots[flight.slot].not_run();
         let slot = &self.slots[flight.slot];
         if slot.pending > 0 {
             return;
@@ -97,6 +104,7 @@
         self.suspicion.not_run(flight.id);
         let slot = &mut self.slots[flight.slot];
         slot.past = slot.past.refused(why);
+        slot.not_run();
         match why {
             NotRun::Quarantined => {
                 self.suspicion.confirm();
@@ -130,7 +138,11 @@
 
     fn take_unknown(&mut self, flight: Flight, why: Unknown, turn: &mut Turn<'_>) {
         self.slots[flight.slot].past = Past::Exposed;
-        if why != Unknown::Closed {
+        if !self.terms.repeatable {
+            self.close(flight.slot);
+        } else if self.terms.forwarded {
+            self.retry(flight.slot, true, turn);
+        } else if why != Unknown::Closed {
             self.suspicion.not_cleared(flight.id);
             self.retry(flight.slot, true, turn);
         } else if turn.tier.link_failed(flight.relay, flight.sent) {
@@ -141,4 +153,18 @@
             self.retry(flight.slot, false, turn);
         }
     }
+
+    /// Keeps a failure that a leaf answered, in case nothing better comes.
+    fn take_failed(&mut self, flight: Flight, failed: Failed, turn: &mut Turn<'_>) {
+        self.slots[flight.slot].past = Past::Exposed;
+        self.failed = Some(Whole {
+            origin: failed.origin,
+            body: failed.body,
+        });
+        if self.terms.repeatable {
+            self.retry(flight.slot, true, turn);
+        } else {
+            self.close(flight.slot);
+        }
+    }
 }
--- a/crates/guavacourse/src/modules/query/report.rs
+++ b/crates/guavacourse/src/modules/query/report.rs
@@ -4,7 +4,11 @@
 
 use super::{Query, plan::Flight};
 use crate::modules::{
-    answer::{Answer, AnswerBody, AttemptTrace, Cause, Ended, Failure, Reason, splice},
+    answer::{
+        Answer, AnswerBody, AttemptTrace, Cause, Content, Ended, Failure, Reason, Whole, splice,
+    },
+    inventory::Format,
+    records,
     time::{Time, micros},
 };
 
@@ -16,15 +20,17 @@
         .filter_map(|slot| slot.body.clone())
         .collect();
     let rows = if enough && !bodies.is_empty() {
-        splice(&bodies)
+        join(query, &bodies)
     } else {
         None
     };
     let coverage = query.tally.coverage();
-    let revision = query.view.catalog.revision;
+    let revision = query.revision;
     let body = match rows {
         Some(rows) => Ok(AnswerBody {
             rows,
+            signatures: signatures(query),
+            missing: query.planned().saturating_sub(bodies.len()),
             index_version: query.pin.version,
             partition_epoch: query.pin.epoch,
             coverage,
@@ -35,6 +41,7 @@
             message: reason.to_string(),
             not_run: query.exposure.proves_not_run(),
             exposure: query.exposure,
+            reply: query.failed.clone(),
             coverage,
             revision,
         }),
@@ -44,6 +51,30 @@
     Answer { body, trace }
 }
 
+/// Joins the bodies in the format of the kind; none if they do not have it.
+fn join(query: &Query, bodies: &[Arc<[u8]>]) -> Option<Content> {
+    match query.terms.format {
+        Format::Json => splice(bodies).map(Content::Json),
+        Format::Greatest(count) => {
+            let count = usize::try_from(count).unwrap_or(usize::MAX);
+            Some(Content::Records(records::greatest(bodies, count)))
+        }
+        Format::Whole => {
+            let slot = query.slots.iter().find(|slot| slot.body.is_some())?;
+            Some(Content::Whole(Whole {
+                origin: slot.origin.clone()?,
+                body: slot.body.clone()?,
+            }))
+        }
+    }
+}
+
+fn signatures(query: &Query) -> Vec<String> {
+    let merged = query.slots.iter().filter(|slot| slot.body.is_some());
+    let origins = merged.filter_map(|slot| slot.origin.as_ref());
+    origins.map(|origin| origin.signature.clone()).collect()
+}
+
 fn attempts(query: &Query, started: Time) -> Vec<AttemptTrace> {
     let notable = query.flights.0.iter().filter(|flight| notable(flight));
     let traced = notable.map(|flight| AttemptTrace {
--- a/crates/guavacourse/src/modules/query/restart.rs
+++ b/crates/guavacourse/src/modules/query/restart.rs
@@ -7,7 +7,7 @@
     plan::{Flight, slots},
     turn::Turn,
 };
-use crate::modules::{answer::Cause, coverage::Tally, hedge, snapshot::shared_version};
+use crate::modules::{answer::Cause, coverage::Tally, hedge, snapshot::shared_version, view::View};
 
 /// Time until a stalled query is given the newest view again.
 pub(super) const STALL_LOOK: Duration = Duration::from_millis(10);
@@ -74,13 +74,26 @@
         }
         self.stalled = false;
         self.cancel(None, None, turn);
-        self.tally = Tally::new(&kind.rules.services);
-        self.slots = slots(&view, kind);
+        self.terms.services.clone_from(&kind.rules.services);
+        self.tally = Tally::new(&self.terms.services);
+        self.slots = slots(&view, kind, &self.terms.services);
+        self.revision = view.catalog.revision;
         self.view = Arc::clone(&view);
         turn.tier.sync(&view);
         self.begin_again(turn);
     }
 
+    /// Takes the leaves of a newer view. The shards stay those of the plan: an
+    /// answer is drawn from one configuration.
+    pub(super) fn follow(&mut self, view: Arc<View>) {
+        let catalog = &view.catalog;
+        for slot in &mut self.slots {
+            let name = &self.terms.services[slot.service];
+            slot.shard = catalog.shard_of(name, slot.range).unwrap_or_default();
+        }
+        self.view = view;
+    }
+
     fn begin_again(&mut self, turn: &mut Turn<'_>) {
         self.trace.restarts += 1;
         self.cancel(None, None, turn);
--- a/crates/guavacourse/src/modules/tier.rs
+++ b/crates/guavacourse/src/modules/tier.rs
@@ -9,8 +9,9 @@
     catalog::{LeafEntry, LeafId, LeafKey, ShardKey},
     cleared::Cleared,
     collections::Map,
+    extra::{ExtraBudgets, ExtraTerms},
     hedge::{self, Pressure},
-    inventory::{Address, LeafState, Policy},
+    inventory::{Address, Kind, LeafState, Policy},
     latency::Latency,
     lateness::Lateness,
     ownership::mix,
@@ -18,6 +19,7 @@
     replicas::{Candidate, LeafStats, as_micros, rank},
     routing::Routing,
     snapshot::Known,
+    split::Split,
     throttle::Throttle,
     time::Time,
     view::View,
@@ -56,6 +58,8 @@
     dropped: u64,
     /// Contents that leaves have lately run without harm.
     pub(crate) cleared: Cleared,
+    /// Budget of extra calls that the fleet shares, if it has one.
+    extra: Option<ExtraBudgets>,
 }
 
 /// Budgets and load of one kind of request.
@@ -66,6 +70,7 @@
     pub(crate) retries: Budget,
     pub(crate) pressure: Pressure,
     pub(crate) throttle: Throttle,
+    split: Split,
 }
 
 impl KindStats {
@@ -76,6 +81,7 @@
             retries: Budget::default(),
             pressure: Pressure::default(),
             throttle: Throttle::default(),
+            split: Split::default(),
         }
     }
 }
@@ -97,6 +103,7 @@
             routing: Routing::default(),
             dropped: 0,
             cleared: Cleared::default(),
+            extra: None,
         }
     }
 
@@ -107,6 +114,41 @@
         self
     }
 
+    /// Holds extra calls to a budget that the fleet shares.
+    #[must_use]
+    pub fn with_extra(mut self, terms: ExtraTerms) -> Self {
+        self.extra = Some(ExtraBudgets::new(terms, 1));
+        self
+    }
+
+    /// Returns the services that the next request of a kind touches: all, or
+    /// the one whose turn it is.
+    pub(crate) fn services_for(&mut self, rules: &Kind) -> Vec<String> {
+        let weights = rules.forward.as_ref().map(|forward| &forward.weights);
+        let Some(weights) = weights.filter(|weights| !weights.is_empty()) else {
+            return rules.services.clone();
+        };
+        let index = self.kind(&rules.name).split.next(weights);
+        rules.services.get(index).cloned().into_iter().collect()
+    }
+
+    /// Counts a request for each of its services.
+    pub(crate) fn count_request(&mut self, services: &[String], now: Time) {
+        let Some(extra) = &mut self.extra else {
+            return;
+        };
+        for service in services {
+            extra.request(service, now);
+        }
+    }
+
+    /// Takes an extra call for a service out of the budget that the fleet
+    /// shares; none if there is no such budget.
+    pub(crate) fn spend_extra(&mut self, service: &str, now: Time) -> Option<bool> {
+        let extra = self.extra.as_mut()?;
+        Some(extra.spend(service, now))
+    }
+
     /// Notes that the link to a relay failed or could not be opened.
     pub fn relay_down(&mut self, relay: Address, now: Time) {
         self.routing.down(relay, now);
@@ -177,6 +219,10 @@
     pub fn sync(&mut self, view: &Arc<View>) {
         self.queries = self.queries.wrapping_add(1);
         if self.routing.sync(view) {
+            let members = u32::try_from(view.entries.len()).unwrap_or(u32::MAX);
+            if let Some(extra) = &mut self.extra {
+                extra.set_members(members);
+            }
             let ids = &view.catalog.ids;
             self.leaves.retain(|id, _| ids.contains_key(id));
         }
@@ -296,7 +342,7 @@
                 }
             }
             Outcome::Unknown(_) if link_failed => {}
-            Outcome::Unknown(_) => stats.fail(now),
+            Outcome::Unknown(_) | Outcome::Failed(_) => stats.fail(now),
         }
         self.kind(kind).pressure.record(pressed);
     }
--- a/crates/guavacourse/tests/action.rs
+++ b/crates/guavacourse/tests/action.rs
@@ -112,6 +112,7 @@
         epoch: 3,
         range: KeyRange::new(0, 100),
         body: Arc::from(*b"[]"),
+        origin: None,
     };
     insta::assert_debug_snapshot!(run(&[Outcome::Rows(rows)]), @r#"
     [
--- a/crates/guavacourse/tests/admission/bench.rs
+++ b/crates/guavacourse/tests/admission/bench.rs
@@ -217,6 +217,7 @@
 
 fn deliver(reply: &Reply) -> String {
     let what = match &reply.outcome {
+        Outcome::Failed(failed) => format!("failed with {}", failed.origin.status),
         Outcome::Rows(_) => "rows".to_owned(),
         Outcome::NotRun(why) => format!("not run: {why:?}"),
         Outcome::Unknown(why) => format!("unknown: {why:?}"),
@@ -234,6 +235,7 @@
             epoch: 0,
             range: KeyRange::ALL,
             body: Arc::from(&b"[]"[..]),
+            origin: None,
         }),
         incarnation,
         draining,
--- a/crates/guavacourse/tests/at_most_once/world/running.rs
+++ b/crates/guavacourse/tests/at_most_once/world/running.rs
@@ -173,5 +173,6 @@
         epoch: 0,
         range: KeyRange::new(0, 9),
         body: Arc::from(*b"[]"),
+        origin: None,
     })
 }
--- a/crates/guavacourse/tests/policy/fleet.rs
+++ b/crates/guavacourse/tests/policy/fleet.rs
@@ -211,6 +211,7 @@
             deadline: None,
             least_coverage: None,
             body: Arc::from(&b"{}"[..]),
+            forward: None,
         };
         let view = Arc::clone(&self.view);
         let started = Query::start(view, &mut self.tiers[entry], request, self.now);
@@ -413,6 +414,7 @@
             epoch: 1,
             range: KeyRange::ALL,
             body: Arc::from(&b"[1]"[..]),
+            origin: None,
         };
         let centre = self.leaves[&id].centre;
         if !self.lost(centre) {
--- a/crates/guavacourse/tests/query/fixture.rs
+++ b/crates/guavacourse/tests/query/fixture.rs
@@ -230,6 +230,7 @@
             epoch: sent.epoch,
             range,
             body: Arc::from(format!("[{}]", range.from).into_bytes()),
+            origin: None,
         }
     }
 
@@ -305,5 +306,6 @@
         deadline: None,
         least_coverage: None,
         body: Arc::from(&b"{}"[..]),
+        forward: None,
     }
 }
--- a/crates/guavacourse/tests/query/snapshot.rs
+++ b/crates/guavacourse/tests/query/snapshot.rs
@@ -20,6 +20,7 @@
         epoch,
         range,
         body: (*b"[]").into(),
+        origin: None,
     }
 }
 
