feat(replicas): choose by failures, and keep extra calls for retries first

Hedges spent what retries needed. Each change of the registry woke every watch. Ruled out: processor (0.04 cores), memory (6 MB). Change: a leaf's cost grows with the part of its calls that fail, a refusal by a leaf that tells room counts as its failure, hedges leave 45% of the extra budget to retries, changes are gathered for 350 ms before the next watch.

--- a/crates/guavacourse/src/edge/gateway/follow.rs
+++ b/crates/guavacourse/src/edge/gateway/follow.rs
@@ -22,6 +22,10 @@
 /// which a leaving leaf gets no more work.
 const WATCH_WAIT: Duration = Duration::from_millis(1_500);
 
+/// Time after a change in which further ones are awaited, so that one call
+/// brings them all.
+const GATHER: Duration = Duration::from_millis(350);
+
 /// Time between two renewals of the registration: a third of its lease.
 const REGISTER_PERIOD: Duration = Duration::from_secs(4);
 
@@ -109,10 +113,14 @@
                 Ok(reading) => {
                     pause.ended();
                     after = after.max(reading.as_of);
+                    let changed = !reading.changes.is_empty();
                     self.update(|directory, now| {
                         let changes = reading.changes.into_iter();
                         changes.fold(false, |any, change| directory.apply(change, now) || any)
                     });
+                    if changed {
+                        Timer::after(GATHER).await;
+                    }
                 }
                 Err(RegistryError::Compacted) => {
                     tracing::info!(after, "the registry is read anew");
--- a/crates/guavacourse/src/edge/gateway/requests.rs
+++ b/crates/guavacourse/src/edge/gateway/requests.rs
@@ -75,6 +75,21 @@
 
 fn answered(id: &str, answer: Answer) -> Outgoing {
     let trace = answer.trace;
+    if let Ok(body) = &answer.body
+        && body.missing > 0
+    {
+        tracing::info!(
+            request = id,
+            kind = trace.kind,
+            revision = body.revision,
+            missing = body.missing,
+            elapsed_us = trace.elapsed_us,
+            calls = trace.calls,
+            denied = trace.denied,
+            attempts = ?trace.attempts,
+            "an answer leaves shards out"
+        );
+    }
     match answer.body {
         Ok(body) => match body.rows {
             Content::Whole(whole) => Outgoing::Whole(whole),
--- a/crates/guavacourse/src/edge/wire.rs
+++ b/crates/guavacourse/src/edge/wire.rs
@@ -150,7 +150,8 @@
 
 fn not_run_to_wire(why: NotRun) -> wire::NotRun {
     match why {
-        NotRun::Shed => wire::NotRun::Shed,
+        // Only leaves of forwarded requests tell these apart.
+        NotRun::Declined | NotRun::Shed => wire::NotRun::Shed,
         NotRun::Draining => wire::NotRun::Draining,
         NotRun::Unreachable => wire::NotRun::Unreachable,
         NotRun::Expired => wire::NotRun::Expired,
--- a/crates/guavacourse/src/modules/call.rs
+++ b/crates/guavacourse/src/modules/call.rs
@@ -154,6 +154,8 @@
 pub enum NotRun {
     /// The leaf shed the call before it started.
     Shed,
+    /// The leaf refused the call though it has room.
+    Declined,
     /// The leaf is draining.
     Draining,
     /// No connection could be opened.
--- a/crates/guavacourse/src/modules/extra.rs
+++ b/crates/guavacourse/src/modules/extra.rs
@@ -14,9 +14,22 @@
 /// Slices of a window in which calls are counted together.
 const SLICES: u32 = 10;
 
-/// Part of the budget that is spent: the rest covers calls that arrive in
+/// Part of the budget that retries spend: the rest covers calls that arrive in
 /// another window than the one in which they were counted here.
-const SPENT_PART: f64 = 0.8;
+const RETRY_PART: f64 = 0.9;
+
+/// Part of the budget that hedges spend: the rest is kept for retries, without
+/// which a part of an answer is lost.
+const HEDGE_PART: f64 = 0.55;
+
+/// Why an extra call is made.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Extra {
+    /// A call is late.
+    Hedge,
+    /// A call has failed.
+    Retry,
+}
 
 /// How many extra calls the fleet may make.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
@@ -85,7 +98,7 @@
     }
 
     /// Counts an extra call for a service, if the budget has room for it.
-    pub fn spend(&mut self, service: &str, now: Time) -> bool {
+    pub fn spend(&mut self, service: &str, why: Extra, now: Time) -> bool {
         let fixed = self.terms.fixed / f64::from(self.members);
         let ratio = self.terms.ratio;
         self.slice(service, now);
@@ -94,7 +107,11 @@
         };
         let requests: u32 = counts.slices.iter().map(|slice| slice.requests).sum();
         let extra: u32 = counts.slices.iter().map(|slice| slice.extra).sum();
-        let most = (f64::from(requests) * ratio + fixed) * SPENT_PART;
+        let part = match why {
+            Extra::Hedge => HEDGE_PART,
+            Extra::Retry => RETRY_PART,
+        };
+        let most = (f64::from(requests) * ratio + fixed) * part;
         let allowed = f64::from(extra) + 1.0 <= most;
         if allowed && let Some(slice) = counts.slices.back_mut() {
             slice.extra += 1;
--- a/crates/guavacourse/src/modules/query.rs
+++ b/crates/guavacourse/src/modules/query.rs
@@ -342,7 +342,10 @@
     match outcome {
         Outcome::Rows(_) | Outcome::Unknown(_) | Outcome::Elsewhere(_) | Outcome::Failed(_) => true,
         Outcome::NotRun(why) => {
-            matches!(why, NotRun::Shed | NotRun::Draining | NotRun::Expired)
+            matches!(
+                why,
+                NotRun::Declined | NotRun::Draining | NotRun::Expired | NotRun::Shed
+            )
         }
     }
 }
--- a/crates/guavacourse/src/modules/query/calls.rs
+++ b/crates/guavacourse/src/modules/query/calls.rs
@@ -13,6 +13,7 @@
     call::{AttemptId, Call, Part},
     catalog::LeafId,
     exposure::Exposure,
+    extra::Extra,
     hedge,
     inventory::Policy,
     tier::Choice,
@@ -27,6 +28,8 @@
 const HEDGE_GRAIN: Duration = Duration::from_micros(500);
 /// Copies of one call under way at the same time.
 const MAX_COPIES: u8 = 2;
+/// Multiple of a leaf's usual latency before which no call is late.
+const LATE_FACTOR: u32 = 2;
 /// Calls that the plain policy makes for one shard.
 const PLAIN_CALLS: usize = 2;
 
@@ -79,7 +82,7 @@
         if self.terms.forwarded && !slot.arrived {
             return true;
         }
-        let shared = turn.tier.spend_extra(service, turn.now);
+        let shared = turn.tier.spend_extra(service, Extra::Retry, turn.now);
         shared.unwrap_or_else(|| !charged || turn.tier.kind(&self.request.kind).retries.spend())
     }
 
@@ -122,7 +125,7 @@
     /// Takes a hedge out of its budget.
     fn pay_hedge(&self, index: usize, turn: &mut Turn<'_>) -> bool {
         let service = &self.terms.services[self.slots[index].service];
-        let shared = turn.tier.spend_extra(service, turn.now);
+        let shared = turn.tier.spend_extra(service, Extra::Hedge, turn.now);
         shared.unwrap_or_else(|| turn.tier.kind(&self.request.kind).hedges.spend())
     }
 
@@ -229,10 +232,9 @@
         slot.hedge = Time::MAX;
         let adaptive = self.terms.policy == Policy::Adaptive;
         if adaptive && self.terms.repeatable && slot.pending <= MAX_COPIES {
-            let late = self
-                .terms
-                .late
-                .map_or(Time::MAX, |late| turn.now.after(late));
+            let usual = turn.tier.expected(choice.id) * LATE_FACTOR;
+            let late = self.terms.late.map(|late| late.max(usual));
+            let late = late.map_or(Time::MAX, |late| turn.now.after(late));
             slot.hedge = if probe {
                 turn.now
             } else {
--- a/crates/guavacourse/src/modules/query/replies.rs
+++ b/crates/guavacourse/src/modules/query/replies.rs
@@ -128,6 +128,7 @@
             NotRun::Shed | NotRun::QueueFull | NotRun::Expired => {
                 self.retry(flight.slot, true, turn);
             }
+            NotRun::Declined => self.retry(flight.slot, true, turn),
             NotRun::Unreachable
             | NotRun::Draining
             | NotRun::Cancelled
--- a/crates/guavacourse/src/modules/replicas.rs
+++ b/crates/guavacourse/src/modules/replicas.rs
@@ -31,6 +31,14 @@
 const SILENCE: f64 = 4.0;
 /// Least time after which a leaf counts as silent.
 const SILENCE_LEAST: Duration = Duration::from_millis(20);
+/// Weight of one outcome in the part of calls that fail.
+const FAILING_WEIGHT: f64 = 0.15;
+/// What a leaf that fails every call costs more, as a multiple of its latency: a
+/// failed call is lost, and its retry is extra load.
+const FAILING_COST: f64 = 8.0;
+/// Time in which the part of failing calls halves unheard, so that a leaf that
+/// is well again is found.
+const FAILING_HALF_LIFE: Duration = Duration::from_secs(2);
 /// Age at which a known index version counts no more for a pin.
 const VERSION_AGE: Duration = Duration::from_secs(5);
 
@@ -48,6 +56,8 @@
     heard: Time,
     unheard: Option<Time>,
     failures: u8,
+    failing: f64,
+    judged: Time,
     avoid: Time,
     held: Known,
     versioned: Time,
@@ -70,6 +80,7 @@
         self.heard = now;
         self.unheard = None;
         self.failures = 0;
+        self.judge(0.0, now);
         self.avoid = Time::default();
     }
 
@@ -88,6 +99,7 @@
     /// Notes a failure: the leaf is avoided for a while, longer each time.
     pub fn fail(&mut self, now: Time) {
         self.failures = self.failures.saturating_add(1);
+        self.judge(1.0, now);
         self.unheard = None;
         self.avoid_from(now);
     }
@@ -164,7 +176,20 @@
     #[must_use]
     pub fn cost(&self, slots: u32, now: Time) -> f64 {
         let load = f64::from(self.pending) / f64::from(slots.max(1));
-        self.estimate(now) * (1.0 + load)
+        self.estimate(now) * (1.0 + load) * (1.0 + FAILING_COST * self.failing(now))
+    }
+
+    /// Returns the part of recent calls that failed, 0 to 1.
+    #[must_use]
+    pub fn failing(&self, now: Time) -> f64 {
+        let age = as_micros(now.since(self.judged)) / as_micros(FAILING_HALF_LIFE);
+        self.failing * (-age).exp2()
+    }
+
+    fn judge(&mut self, failed: f64, now: Time) {
+        let current = self.failing(now);
+        self.failing = current + (failed - current) * FAILING_WEIGHT;
+        self.judged = now;
     }
 
     /// Returns the cost weighed by the queue that the leaf reported lately.
--- a/crates/guavacourse/src/modules/tier.rs
+++ b/crates/guavacourse/src/modules/tier.rs
@@ -9,7 +9,7 @@
     catalog::{LeafEntry, LeafId, LeafKey, ShardKey},
     cleared::Cleared,
     collections::Map,
-    extra::{ExtraBudgets, ExtraTerms},
+    extra::{Extra, ExtraBudgets, ExtraTerms},
     hedge::{self, Pressure},
     inventory::{Address, Kind, LeafState, Policy},
     latency::Latency,
@@ -144,9 +144,9 @@
 
     /// Takes an extra call for a service out of the budget that the fleet
     /// shares; none if there is no such budget.
-    pub(crate) fn spend_extra(&mut self, service: &str, now: Time) -> Option<bool> {
+    pub(crate) fn spend_extra(&mut self, service: &str, why: Extra, now: Time) -> Option<bool> {
         let extra = self.extra.as_mut()?;
-        Some(extra.spend(service, now))
+        Some(extra.spend(service, why, now))
     }
 
     /// Notes that the link to a relay failed or could not be opened.
@@ -508,7 +508,7 @@
 /// leaf refuses hedges first, which is none.
 fn blames_leaf(why: NotRun, cause: Cause) -> bool {
     match why {
-        NotRun::Draining | NotRun::Ejected | NotRun::Unreachable => true,
+        NotRun::Declined | NotRun::Draining | NotRun::Ejected | NotRun::Unreachable => true,
         NotRun::QueueFull | NotRun::Shed => cause != Cause::Hedge,
         NotRun::Cancelled
         | NotRun::Expired
