--- a/crates/guavacourse/src/modules/query.rs
+++ b/crates/guavacourse/src/modules/query.rs
@@ -98,6 +98,8 @@
     services: Vec<String>,
     /// Whether a call that may have run may be repeated.
     repeatable: bool,
+    /// When an answer is of full use no longer.
+    target: Option<Time>,
     /// Time from which a call without a reply is late for the caller's target.
     late: Option<Duration>,
     /// Whether leaves receive the caller's own request.
--- a/crates/guavacourse/src/modules/query/admission.rs
+++ b/crates/guavacourse/src/modules/query/admission.rs
@@ -68,6 +68,7 @@
         format: rules.format,
         services,
         repeatable: rules.class == Class::Query,
+        target: target.map(|target| now.after(target)),
         late: target.map(|target| target.mul_f64(LATE_PART)),
         forwarded: request.forward.is_some(),
     }
--- a/crates/guavacourse/src/modules/query/calls.rs
+++ b/crates/guavacourse/src/modules/query/calls.rs
@@ -70,6 +70,9 @@
         };
         if !plain && !self.pay(index, charged, turn) {
             self.trace.denied += 1;
+            if self.terms.target.is_some_and(|target| turn.now >= target) {
+                self.close(index);
+            }
             return;
         }
         self.call(index, choice, Cause::Retry, turn);
@@ -149,9 +152,12 @@
         if self.unproven() {
             return other;
         }
+        if self.terms.forwarded {
+            return other;
+        }
         let other = other.filter(|choice| !turn.tier.avoided(choice.id, turn.now));
         let late = self.flights.pending_of(index)?;
-        if self.terms.forwarded || slot.pending > 1 || slot.calls_to(late.leaf) > 1 {
+        if slot.pending > 1 || slot.calls_to(late.leaf) > 1 {
             return other;
         }
         let slots = self.view.catalog.services[self.view.catalog.shards[slot.shard].service].slots;
--- a/crates/guavacourse/src/modules/replicas.rs
+++ b/crates/guavacourse/src/modules/replicas.rs
@@ -33,9 +33,9 @@
 const SILENCE_LEAST: Duration = Duration::from_millis(20);
 /// Weight of one outcome in the part of calls that fail.
 const FAILING_WEIGHT: f64 = 0.15;
-/// What a leaf that fails every call costs more, as a multiple of its latency: a
-/// failed call is lost, and its retry is extra load.
-const FAILING_COST: f64 = 8.0;
+/// Latency that a failed call counts as: its part may be lost, and its retry is
+/// extra load.
+const FAILED_CALL: Duration = Duration::from_millis(150);
 /// Time in which the part of failing calls halves unheard, so that a leaf that
 /// is well again is found.
 const FAILING_HALF_LIFE: Duration = Duration::from_secs(2);
@@ -176,7 +176,7 @@
     #[must_use]
     pub fn cost(&self, slots: u32, now: Time) -> f64 {
         let load = f64::from(self.pending) / f64::from(slots.max(1));
-        self.estimate(now) * (1.0 + load) * (1.0 + FAILING_COST * self.failing(now))
+        self.estimate(now) * (1.0 + load) + self.failing(now) * as_micros(FAILED_CALL)
     }
 
     /// Returns the part of recent calls that failed, 0 to 1.
