--- a/crates/guavacourse/src/edge/http/head.rs
+++ b/crates/guavacourse/src/edge/http/head.rs
@@ -10,7 +10,7 @@
 pub const HEAD_MAX: usize = 8 * 1024;
 
 /// Largest number of headers in a message.
-pub(super) const HEADERS_MAX: usize = 100;
+pub(super) const HEADERS_MAX: usize = 64;
 
 /// Bytes asked of the socket at a time.
 const CHUNK: usize = 4 * 1024;
@@ -39,8 +39,8 @@
     /// The version is not HTTP/1.1.
     #[error("HTTP/1.{0} is not served; use HTTP/1.1")]
     Version(u8),
-    /// A transfer coding other than `chunked`, or one beside a length.
-    #[error("this transfer-encoding is not served; send content-length, or chunked alone")]
+    /// A transfer coding other than `chunked`.
+    #[error("this transfer-encoding is not served; send content-length or chunked")]
     Coding,
     /// A response without a length where one is needed.
     #[error("the response has no content-length and is not chunked; send its length")]
@@ -310,7 +310,10 @@
         return Err(BadMessage::Header(fault.to_owned()));
     }
     head.framing = match (length, chunked, side) {
-        (Some(_), true, _) => return Err(BadMessage::Coding),
+        (Some(_), true, _) => {
+            let fault = "content-length and transfer-encoding are both given; send one of them";
+            return Err(BadMessage::Header(fault.to_owned()));
+        }
         (Some(length), false, _) => Framing::Length(length),
         (None, true, _) => Framing::Chunked,
         (None, false, Side::Request) => Framing::Length(0),
--- a/crates/guavacourse/src/modules/answer.rs
+++ b/crates/guavacourse/src/modules/answer.rs
@@ -30,7 +30,8 @@
     /// Signatures of the parts, where leaves sign their replies.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub signatures: Vec<String>,
-    /// Shards that the answer leaves out.
+    /// Shards that the answer leaves out; the coverage names their keys.
+    #[serde(skip)]
     pub missing: usize,
     /// The one index version of all rows.
     pub index_version: u64,
--- a/crates/guavacourse/src/modules/query/replies.rs
+++ b/crates/guavacourse/src/modules/query/replies.rs
@@ -155,13 +155,16 @@
         }
     }
 
-    /// Keeps a failure that a leaf answered, in case nothing better comes.
+    /// Keeps a failure that the one leaf of a request answered, in case nothing
+    /// better comes. That of one shard among several is no answer.
     fn take_failed(&mut self, flight: Flight, failed: Failed, turn: &mut Turn<'_>) {
         self.slots[flight.slot].past = Past::Exposed;
-        self.failed = Some(Whole {
-            origin: failed.origin,
-            body: failed.body,
-        });
+        if self.terms.format == Format::Whole {
+            self.failed = Some(Whole {
+                origin: failed.origin,
+                body: failed.body,
+            });
+        }
         if self.terms.repeatable {
             self.retry(flight.slot, true, turn);
         } else {
--- /dev/null
+++ b/crates/guavacourse/tests/directory.rs
@@ -0,0 +1,144 @@
+//! What a process takes from a registry that lags, fails and is written to by
+//! strangers.
+
+use std::time::Duration;
+
+use guavacourse::modules::{
+    catalog::LeafId,
+    directory::{Change, Deployment, Directory, LeafRecord, Reading},
+    inventory::{Address, Kind, LeafState},
+    keys::KeyRange,
+    members::MemberState,
+    time::Time,
+};
+
+fn at(millis: u64) -> Time {
+    Time::default().after(Duration::from_millis(millis))
+}
+
+fn record(name: &str, born: u64, sequence: u64) -> LeafRecord {
+    LeafRecord {
+        name: name.to_owned(),
+        service: "desk".to_owned(),
+        address: Address::default(),
+        data_centre: "dc-a".to_owned(),
+        slots: 3,
+        state: MemberState::Live,
+        born,
+        sequence,
+    }
+}
+
+fn deployed(version: u64, kind: &str) -> Change {
+    Change::Deployed(Box::new(Deployment {
+        version,
+        kinds: vec![Kind {
+            name: kind.to_owned(),
+            services: vec!["desk".to_owned()],
+            ..Kind::default()
+        }],
+        ..Deployment::default()
+    }))
+}
+
+fn reading(names: &[&str]) -> Reading {
+    let leaves = names.iter().map(|name| Change::Leaf(record(name, 1, 1)));
+    Reading {
+        as_of: 1,
+        changes: leaves.collect(),
+    }
+}
+
+/// Starts with leaves `a` and `b` and version 3.
+fn directory() -> Directory {
+    let mut directory = Directory::default();
+    directory.replace(reading(&["a", "b"]), at(0));
+    assert!(directory.apply(deployed(3, "search"), at(0)));
+    directory
+}
+
+fn names(directory: &Directory) -> Vec<String> {
+    let catalog = directory.catalog();
+    let serving = catalog.leaves.values();
+    let serving = serving.filter(|leaf| leaf.state == LeafState::Serving);
+    let mut names: Vec<String> = serving.map(|leaf| leaf.name.clone()).collect();
+    names.sort();
+    names
+}
+
+#[test]
+fn a_version_never_goes_back() {
+    let mut directory = directory();
+    assert!(!directory.apply(deployed(2, "old"), at(1)));
+    assert!(!directory.apply(deployed(3, "other"), at(1)));
+    assert!(directory.catalog().kinds.contains_key("search"));
+    assert!(directory.apply(deployed(9, "new"), at(2)));
+    assert_eq!(directory.catalog().revision, 9);
+}
+
+#[test]
+fn an_old_entry_changes_nothing() {
+    let mut directory = directory();
+    let draining = LeafRecord {
+        state: MemberState::Leaving,
+        ..record("a", 1, 5)
+    };
+    assert!(directory.apply(Change::Leaf(draining), at(1)));
+    assert!(!directory.apply(Change::Leaf(record("a", 1, 4)), at(2)));
+    assert!(!directory.apply(Change::Leaf(record("a", 0, 9)), at(2)));
+    assert_eq!(names(&directory), ["b"]);
+    assert!(directory.apply(Change::Leaf(record("a", 2, 0)), at(3)));
+    assert_eq!(names(&directory), ["a", "b"]);
+    assert_eq!(directory.incarnations().get(&LeafId::of("a")), Some(&2));
+}
+
+#[test]
+fn an_old_entry_brings_no_leaf_back() {
+    let mut directory = directory();
+    assert!(directory.apply(Change::LeafGone("a".to_owned()), at(1)));
+    assert!(!directory.apply(Change::Leaf(record("a", 1, 0)), at(2)));
+    assert_eq!(names(&directory), ["b"]);
+}
+
+#[test]
+fn a_leaf_whose_entry_goes_while_all_is_well_is_gone() {
+    let mut directory = directory();
+    assert!(directory.apply(Change::LeafGone("a".to_owned()), at(1)));
+    assert_eq!(names(&directory), ["b"]);
+    assert!(directory.replace(reading(&["a"]), at(2)));
+    assert_eq!(names(&directory), ["a"]);
+}
+
+#[test]
+fn an_entry_that_lapsed_in_an_outage_is_awaited_for_two_seconds() {
+    let mut directory = directory();
+    directory.outage(at(10_000));
+    assert!(!directory.apply(Change::LeafGone("a".to_owned()), at(10_100)));
+    assert!(!directory.replace(reading(&[]), at(10_200)));
+    assert_eq!(names(&directory), ["a", "b"]);
+    assert!(!directory.apply(Change::Leaf(record("b", 1, 7)), at(11_900)));
+    assert_eq!(directory.next_tick(), Some(at(12_200)));
+    assert!(!directory.tick(at(12_100)));
+    assert!(directory.tick(at(12_200)));
+    assert_eq!(names(&directory), ["b"]);
+    assert_eq!(directory.next_tick(), None);
+}
+
+#[test]
+fn connections_are_shared_by_the_members() {
+    let mut directory = directory();
+    let connections = [("desk".to_owned(), 31)].into_iter().collect();
+    for name in ["m-1", "m-2", "m-3"] {
+        assert!(directory.apply(Change::Member(name.to_owned()), at(1)));
+    }
+    let deployment = Deployment {
+        version: 4,
+        connections,
+        ..Deployment::default()
+    };
+    directory.apply(Change::Deployed(Box::new(deployment)), at(1));
+    let catalog = directory.catalog();
+    let key = catalog.shard_of("desk", KeyRange::ALL).expect("the shard");
+    let service = catalog.shards[key].service;
+    assert_eq!(catalog.services[service].connections, 10);
+}
--- /dev/null
+++ b/crates/guavacourse/tests/forwarding.rs
@@ -0,0 +1,160 @@
+//! The parts that forwarded requests need: shared budgets, splits, records.
+
+use std::{sync::Arc, time::Duration};
+
+use guavacourse::modules::{
+    catalog::Catalog,
+    extra::{Extra, ExtraBudgets, ExtraTerms},
+    inventory::{Config, Forward, Kind},
+    patience::Patience,
+    records::greatest,
+    split::Split,
+    time::Time,
+};
+use proptest::prelude::*;
+
+const TERMS: ExtraTerms = ExtraTerms {
+    ratio: 0.2,
+    fixed: 54.0,
+    window: Duration::from_secs(10),
+};
+
+fn at(millis: u64) -> Time {
+    Time::default().after(Duration::from_millis(millis))
+}
+
+fn spent(budgets: &mut ExtraBudgets, why: Extra, now: Time) -> u32 {
+    let mut count = 0;
+    while budgets.spend("desk", why, now) {
+        count += 1;
+    }
+    count
+}
+
+#[test]
+fn members_share_the_fixed_part_and_spend_their_own_ratio() {
+    let mut budgets = ExtraBudgets::new(TERMS, 6);
+    for _ in 0..100 {
+        budgets.request("desk", at(0));
+    }
+    // (100 x 0.2 + 54 / 6) x 0.9
+    assert_eq!(spent(&mut budgets, Extra::Retry, at(0)), 26);
+    assert!(!budgets.spend("desk", Extra::Hedge, at(9_000)));
+    assert!(budgets.spend("other", Extra::Hedge, at(0)));
+}
+
+#[test]
+fn hedges_leave_room_for_retries() {
+    let mut budgets = ExtraBudgets::new(TERMS, 6);
+    for _ in 0..100 {
+        budgets.request("desk", at(0));
+    }
+    assert_eq!(spent(&mut budgets, Extra::Hedge, at(0)), 15);
+    assert_eq!(spent(&mut budgets, Extra::Retry, at(0)), 11);
+}
+
+proptest! {
+    /// No window of the rule's length holds more than its budget, whatever the
+    /// times of requests and extra calls.
+    #[test]
+    fn no_sliding_window_is_overspent(steps in prop::collection::vec((1u64..400, 0u8..3), 1..600)) {
+        let mut budgets = ExtraBudgets::new(TERMS, 3);
+        let mut now = 0;
+        let mut requests = Vec::new();
+        let mut extras = Vec::new();
+        for (gap, what) in steps {
+            now += gap;
+            if what == 0 {
+                budgets.request("desk", at(now));
+                requests.push(now);
+            } else if budgets.spend("desk", Extra::Retry, at(now)) {
+                extras.push(now);
+            }
+        }
+        let within = |times: &[u64], from: u64, until: u64| {
+            times.iter().filter(|time| (from..until).contains(*time)).count()
+        };
+        for start in &extras {
+            let until = start + 10_000;
+            let own = within(&requests, *start, until);
+            let before = within(&requests, start.saturating_sub(10_000), *start);
+            let half = within(&requests, start.saturating_sub(5_000), start + 5_000);
+            let most = own.max(before).max(half);
+            let allowed = f64::from(u32::try_from(most).unwrap()) * 0.2 + 54.0 / 3.0;
+            let spent = f64::from(u32::try_from(within(&extras, *start, until)).unwrap());
+            prop_assert!(spent <= allowed, "{spent} of {allowed} from {start} ms");
+        }
+    }
+
+    /// Every stretch of requests is split by weight, to within one request.
+    #[test]
+    fn every_stretch_is_split_by_weight(weights in prop::collection::vec(0.0f64..10.0, 1..5)) {
+        prop_assume!(weights.iter().sum::<f64>() > 0.1);
+        let total: f64 = weights.iter().sum();
+        let mut split = Split::default();
+        let chosen: Vec<usize> = (0..400).map(|_| split.next(&weights)).collect();
+        for stretch in chosen.chunks(100) {
+            for (index, weight) in weights.iter().enumerate() {
+                let count = stretch.iter().filter(|own| **own == index).count();
+                let share = f64::from(u32::try_from(count).unwrap());
+                prop_assert!((share - 100.0 * weight / total).abs() <= 4.0);
+            }
+        }
+    }
+}
+
+#[test]
+fn the_greatest_records_of_all_parts_are_kept() {
+    let part = |letters: &str| -> Arc<[u8]> {
+        let bytes: Vec<u8> = letters.bytes().flat_map(|l| [l; 16]).collect();
+        bytes.into()
+    };
+    let mut remainder = part("z").to_vec();
+    remainder.truncate(15);
+    let parts = [part("ca"), part("bc"), part(""), remainder.into()];
+    assert_eq!(greatest(&parts, 3), part("ccb").to_vec());
+    assert_eq!(greatest(&parts, 9), part("ccba").to_vec());
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_takes_a_request() {
+    let kind = |name: &str, host: &str, prefix: &str| Kind {
+        name: name.to_owned(),
+        forward: Some(Forward {
+            host: host.to_owned(),
+            prefix: prefix.to_owned(),
+            ..Forward::default()
+        }),
+        ..Kind::default()
+    };
+    let config = Config {
+        kinds: vec![
+            kind("short", "h", "/a/"),
+            kind("long", "h", "/a/b/"),
+            kind("other", "g", "/"),
+        ],
+        ..Config::default()
+    };
+    let catalog = Catalog::new(1, &config);
+    let name = |host: &str, path: &str| {
+        let found = catalog.forwarded(host, path);
+        found
+            .map(|kind| kind.rules.name.clone())
+            .unwrap_or_default()
+    };
+    assert_eq!(name("h", "/a/b/c"), "long");
+    assert_eq!(name("h", "/a/bc"), "short");
+    assert_eq!(name("h", "/b/"), "");
+    assert_eq!(name("g", "/a/b/c"), "other");
+    assert_eq!(name("f", "/a/b/c"), "");
+}
+
+#[test]
+fn the_age_of_a_request_is_what_its_caller_no_longer_allows() {
+    let mut patience = Patience::default();
+    let ms = Duration::from_millis;
+    assert_eq!(patience.age("search", ms(980)), ms(0));
+    assert_eq!(patience.age("search", ms(1_000)), ms(0));
+    assert_eq!(patience.age("search", ms(985)), ms(15));
+    assert_eq!(patience.age("other", ms(10)), ms(0));
+}
