--- a/crates/guavacourse/tests/admission/bench.rs
+++ b/crates/guavacourse/tests/admission/bench.rs
@@ -41,6 +41,7 @@
     pub alone: bool,
     pub first: bool,
     pub content: u64,
+    pub forwarded: bool,
 }
 
 impl Default for Ask {
@@ -54,6 +55,7 @@
             extra: false,
             action: false,
             alone: false,
+            forwarded: false,
             first: false,
             content: 0,
         }
@@ -138,6 +140,7 @@
             calls: vec![call],
             alone: ask.alone,
             first: ask.first,
+            forward: ask.forwarded.then(Arc::default),
             ..Part::default()
         };
         self.core.submit(SESSION, part, self.now);
--- a/crates/guavacourse/tests/admission/quarantine.rs
+++ b/crates/guavacourse/tests/admission/quarantine.rs
@@ -261,3 +261,43 @@
     deliver 1: rows
     ");
 }
+
+// trouble-1 of lclra-roster: replies that leaves lost held every retry for
+// 300 ms, or refused it.
+#[test]
+fn a_forwarded_call_whose_reply_was_lost_is_repeated_at_once() {
+    let forwarded = |attempt, leaf| Ask {
+        forwarded: true,
+        extra: attempt > 1,
+        ..call(attempt, leaf, INNOCENT)
+    };
+    let mut bench = Bench::new();
+    bench.submit(&forwarded(1, "a"));
+    bench.steps();
+    bench.cut(1);
+    bench.submit(&forwarded(2, "b"));
+    bench.steps();
+    bench.cut(2);
+    bench.submit(&forwarded(3, "c"));
+    insta::assert_snapshot!(bench.steps(), @r"
+    probe b
+    deliver 2: unknown: Closed
+    dispatch 3 on a new connection
+    ");
+}
+
+#[test]
+fn a_forwarded_call_that_was_under_way_at_a_crash_is_a_suspect() {
+    let forwarded = |attempt, leaf| Ask {
+        forwarded: true,
+        ..call(attempt, leaf, POISON)
+    };
+    let mut bench = Bench::new();
+    bench.submit(&forwarded(1, "a"));
+    bench.steps();
+    bench.cut(1);
+    bench.dead("a");
+    bench.steps();
+    bench.submit(&forwarded(2, "b"));
+    insta::assert_snapshot!(bench.steps(), @"");
+}
