--- a/crates/daemons/src/bin/guavacourse-demo.rs
+++ b/crates/daemons/src/bin/guavacourse-demo.rs
@@ -4,7 +4,7 @@
 use guavacourse_daemons::demo;
 
 fn main() -> anyhow::Result<()> {
-    log::init(&LogConfig {
+    let _log = log::init(&LogConfig {
         filter: "error".to_owned(),
         ..LogConfig::default()
     });
--- a/crates/daemons/src/bin/guavacourse-relay.rs
+++ b/crates/daemons/src/bin/guavacourse-relay.rs
@@ -4,7 +4,7 @@
 use guavacourse_daemons::settings;
 
 fn main() -> anyhow::Result<()> {
-    let settings = settings::read("Speaks to backend servers until SIGTERM or SIGINT.")?;
+    let (settings, _log) = settings::read("Speaks to backend servers until SIGTERM or SIGINT.")?;
     let relay = RelayServer::start(&settings)?;
     signals::wait_stop()?;
     relay.stop();
--- a/crates/daemons/src/settings.rs
+++ b/crates/daemons/src/settings.rs
@@ -3,7 +3,10 @@
 use std::path::PathBuf;
 
 use bpaf::{OptionParser, Parser, construct, long};
-use guavacourse::{configs::settings::Settings, edge::log};
+use guavacourse::{
+    configs::settings::Settings,
+    edge::log::{self, Log},
+};
 
 /// Reads the settings file that the command line names, and starts the log.
 /// `--help` describes the program as `description`.
@@ -11,11 +14,11 @@
 /// # Errors
 ///
 /// Returns an error that names the file, or the setting that is wrong.
-pub fn read(description: &'static str) -> anyhow::Result<Settings> {
+pub fn read(description: &'static str) -> anyhow::Result<(Settings, Log)> {
     let path = options(description).run();
     let settings = Settings::read(&path)?;
-    log::init(&settings.log);
-    Ok(settings)
+    let log = log::init(&settings.log);
+    Ok((settings, log))
 }
 
 fn options(description: &'static str) -> OptionParser<PathBuf> {
--- a/crates/guavacourse/src/edge/gateway/follow.rs
+++ b/crates/guavacourse/src/edge/gateway/follow.rs
@@ -113,12 +113,15 @@
                 Ok(reading) => {
                     pause.ended();
                     after = after.max(reading.as_of);
-                    let changed = !reading.changes.is_empty();
+                    let any = !reading.changes.is_empty();
                     self.update(|directory, now| {
-                        let changes = reading.changes.into_iter();
-                        changes.fold(false, |any, change| directory.apply(change, now) || any)
+                        let mut different = false;
+                        for change in reading.changes {
+                            different |= directory.apply(change, now);
+                        }
+                        different
                     });
-                    if changed {
+                    if any {
                         Timer::after(GATHER).await;
                     }
                 }
--- a/crates/guavacourse/src/edge/gateway/mod.rs
+++ b/crates/guavacourse/src/edge/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! The configuration and the leaves come from a [`Registry`]; what callers and
 //! leaves speak is behind [`CallerProtocol`] and [`LeafProtocol`].
 
+mod explain;
 mod follow;
 mod protocol;
 mod registry;
@@ -20,6 +21,7 @@
 };
 use super::{
     clock::Clock,
+    log::Log,
     metrics::{EntryMetrics, Metrics},
     published::Published,
     relay::LeafProtocol,
@@ -72,6 +74,7 @@
     /// Returns an error that names the address or thread that failed.
     pub fn start<R: Registry + Send + 'static>(
         config: GatewayConfig,
+        log: &Log,
         registry: R,
         callers: Arc<dyn CallerProtocol>,
         leaves: Arc<dyn LeafProtocol>,
@@ -80,6 +83,10 @@
         let view = Published::new(View::default());
         let stopping = serve::Stopping::default();
         let metrics = Metrics::new();
+        let dropped = log.dropped();
+        metrics.watch("log_lines_dropped", move || {
+            u64::try_from(dropped.dropped_lines()).unwrap_or(u64::MAX)
+        });
         let plan = serve::Plan {
             listeners: serve::Listeners::bind(&config)?,
             config: config.clone(),
--- a/crates/guavacourse/src/edge/gateway/requests.rs
+++ b/crates/guavacourse/src/edge/gateway/requests.rs
@@ -5,6 +5,7 @@
 use http_types::{Request, Response};
 
 use super::{
+    explain,
     protocol::{Incoming, Outgoing},
     serve::Traffic,
 };
@@ -65,31 +66,21 @@
         counter: &traffic.entry.calls,
     };
     let outgoing = match engine.run(request).await {
-        Ok(answer) => answered(&id, answer),
-        Err(refusal) => refused(&id, &refusal),
+        Ok(answer) => {
+            explain::answer(traffic, &id, &answer);
+            answered(answer)
+        }
+        Err(refusal) => {
+            explain::refusal(traffic, &id, &name, &refusal);
+            refused(&refusal)
+        }
     };
     let took = traffic.clock.now().since(started);
     traffic.entry.finished(&name, result(&outgoing), took);
     outgoing
 }
 
-fn answered(id: &str, answer: Answer) -> Outgoing {
-    let trace = answer.trace;
-    if let Ok(body) = &answer.body
-        && body.missing > 0
-    {
-        tracing::info!(
-            request = id,
-            kind = trace.kind,
-            revision = body.revision,
-            missing = body.missing,
-            elapsed_us = trace.elapsed_us,
-            calls = trace.calls,
-            denied = trace.denied,
-            attempts = ?trace.attempts,
-            "an answer leaves shards out"
-        );
-    }
+fn answered(answer: Answer) -> Outgoing {
     match answer.body {
         Ok(body) => match body.rows {
             Content::Whole(whole) => Outgoing::Whole(whole),
@@ -104,22 +95,7 @@
                 missing: body.missing,
             },
         },
-        Err(failure) => {
-            tracing::info!(
-                request = id,
-                kind = trace.kind,
-                revision = failure.revision,
-                reason = %failure.reason,
-                not_run = failure.not_run,
-                covered = failure.coverage.fraction,
-                elapsed_us = trace.elapsed_us,
-                calls = trace.calls,
-                denied = trace.denied,
-                attempts = ?trace.attempts,
-                "a request failed"
-            );
-            failed(failure)
-        }
+        Err(failure) => failed(failure),
     }
 }
 
@@ -134,8 +110,7 @@
     }
 }
 
-fn refused(id: &str, refusal: &Refusal) -> Outgoing {
-    tracing::info!(request = id, %refusal, "a request was refused");
+fn refused(refusal: &Refusal) -> Outgoing {
     match refusal {
         Refusal::UnknownKind(_) => Outgoing::NotFound,
         _ => not_run(refusal.to_string()),
--- a/crates/guavacourse/src/edge/gateway/serve.rs
+++ b/crates/guavacourse/src/edge/gateway/serve.rs
@@ -31,7 +31,7 @@
         tasks::Tasks,
         worker::Stop,
     },
-    modules::{patience::Patience, tier::Tier, view::View},
+    modules::{line_budget::LineBudget, patience::Patience, tier::Tier, view::View},
 };
 
 /// Time between two looks at whether requests are under way.
@@ -103,7 +103,7 @@
         Ok(Self {
             callers: bind(config.callers)?,
             ready: bind(config.ready)?,
-            metrics: config.metrics.map(bind).transpose()?,
+            metrics: config.metrics.and_then(bind_metrics),
         })
     }
 }
@@ -115,6 +115,15 @@
     Ok(listener)
 }
 
+/// Binds the address of the metrics. Callers are served without them, too.
+fn bind_metrics(address: SocketAddr) -> Option<StdListener> {
+    let bound = bind(address);
+    if let Err(error) = &bound {
+        tracing::warn!(%error, "no metrics are served; free the address and restart");
+    }
+    bound.ok()
+}
+
 /// What the thread starts with.
 pub(super) struct Plan {
     pub(super) listeners: Listeners,
@@ -136,6 +145,7 @@
     pub(super) tier: RefCell<Tier>,
     pub(super) relay: LocalRelay,
     pub(super) patience: RefCell<Patience>,
+    pub(super) lines: RefCell<LineBudget>,
     pub(super) entry: EntryMetrics,
     stopping: Stopping,
     metrics: Metrics,
@@ -158,6 +168,7 @@
             tier: RefCell::new(tier),
             relay,
             patience: RefCell::default(),
+            lines: RefCell::default(),
             entry: self.entry,
             stopping: self.stopping,
             metrics: self.metrics,
--- a/crates/guavacourse/src/edge/http/client.rs
+++ b/crates/guavacourse/src/edge/http/client.rs
@@ -101,8 +101,8 @@
     pub async fn exchange(&mut self, request: Request) -> Result<Response, ExchangeError> {
         let mut bytes = Vec::with_capacity(REQUEST_BYTES);
         let mut encoder = async_h1::client::Encoder::new(request);
-        let encoded = encoder.read_to_end(&mut bytes).await;
-        encoded.map_err(ExchangeError::Closed)?;
+        let written = encoder.read_to_end(&mut bytes).await;
+        written.map_err(ExchangeError::Closed)?;
         let (head, body) = self.exchange_bytes(&bytes).await?;
         message::response(&head, body).map_err(fault)
     }
--- a/crates/guavacourse/src/edge/http/head.rs
+++ b/crates/guavacourse/src/edge/http/head.rs
@@ -96,7 +96,7 @@
     let mut seen = 0;
     loop {
         match head_size(buf, seen) {
-            Some(size) if size <= limit => return check_head(&buf[..size], side),
+            Some(end) if end <= limit => return check_head(&buf[..end], side),
             None if buf.len() <= limit => {}
             _ => return Err(BadMessage::HeadTooLong(limit)),
         }
--- a/crates/guavacourse/src/edge/metrics.rs
+++ b/crates/guavacourse/src/edge/metrics.rs
@@ -51,6 +51,15 @@
         self.provider.meter("guavacourse")
     }
 
+    /// Adds a counter whose value is read at each collection.
+    pub(crate) fn watch(&self, name: &'static str, read: impl Fn() -> u64 + Send + Sync + 'static) {
+        let meter = self.meter();
+        meter
+            .u64_observable_counter(name)
+            .with_callback(move |observer| observer.observe(read(), &[]))
+            .build();
+    }
+
     /// Collects all instruments and returns them as text. It blocks briefly.
     #[must_use]
     pub fn scrape(&self) -> String {
--- a/crates/guavacourse/src/modules/inventory.rs
+++ b/crates/guavacourse/src/modules/inventory.rs
@@ -211,6 +211,7 @@
 }
 
 impl Format {
+    #[allow(clippy::trivially_copy_pass_by_ref, reason = "serde passes references")]
     fn is_json(&self) -> bool {
         *self == Self::Json
     }
--- a/crates/guavacourse/src/modules/mod.rs
+++ b/crates/guavacourse/src/modules/mod.rs
@@ -29,6 +29,7 @@
 pub mod lateness;
 pub mod leaf_health;
 pub mod ledger;
+pub mod line_budget;
 pub mod listed;
 pub mod members;
 pub mod outcome;
--- a/crates/guavacourse/src/modules/patience.rs
+++ b/crates/guavacourse/src/modules/patience.rs
@@ -20,7 +20,7 @@
     pub fn age(&mut self, kind: &str, left: Duration) -> Duration {
         if let Some(longest) = self.longest.get_mut(kind) {
             *longest = left.max(*longest);
-            return *longest - left;
+            return longest.saturating_sub(left);
         }
         if self.longest.len() >= KINDS_MAX {
             self.longest.clear();
