fix(extra): do not spend the fleet's budget twice after restarts and revoked entries

Found by reading: a restarted process began with its whole fixed share, and processes whose entries were taken away left theirs to the others.

--- a/crates/guavacourse/src/edge/gateway/follow.rs
+++ b/crates/guavacourse/src/edge/gateway/follow.rs
@@ -187,7 +187,7 @@
             address: Address(config.callers),
             ..Member::default()
         };
-        let entries = directory.members().iter().map(|name| Member {
+        let entries = directory.members().map(|name| Member {
             name: name.clone(),
             ..Member::default()
         });
--- a/crates/guavacourse/src/edge/gateway/serve.rs
+++ b/crates/guavacourse/src/edge/gateway/serve.rs
@@ -34,6 +34,11 @@
     modules::{line_budget::LineBudget, patience::Patience, tier::Tier, view::View},
 };
 
+/// Largest head and body of a request while no configuration bounds them, in
+/// bytes. They bound memory; the request is refused all the same.
+const HEAD_UNBOUND: usize = 64 * 1024;
+const BODY_UNBOUND: usize = 1024 * 1024;
+
 /// Time between two looks at whether requests are under way.
 const IDLE_LOOK: Duration = Duration::from_millis(20);
 
@@ -239,6 +244,8 @@
 async fn callers(traffic: Rc<Traffic>, stream: TcpStream) -> std::io::Result<()> {
     let view = traffic.view.load();
     let mut limits = Limits {
+        head: HEAD_UNBOUND,
+        body: BODY_UNBOUND,
         shutdown: traffic.stopping.shutdown.clone(),
         ..Limits::default()
     };
--- a/crates/guavacourse/src/modules/directory.rs
+++ b/crates/guavacourse/src/modules/directory.rs
@@ -20,6 +20,10 @@
 /// Time after an outage in which a leaf that lives registers again.
 const RETURN_TIME: Duration = Duration::from_millis(2_200);
 
+/// Time for which a process whose entry is gone still counts: entries are taken
+/// away at times though the process lives, and its share must not be spent twice.
+const MEMBER_TIME: Duration = Duration::from_secs(30);
+
 /// Leaves that are remembered after they have left, so that an old entry does
 /// not bring them back.
 const PAST_MAX: usize = 4_096;
@@ -99,7 +103,8 @@
     deployment: Option<Deployment>,
     leaves: Map<String, Held>,
     past: Map<String, (u64, u64)>,
-    members: Set<String>,
+    /// Processes of the fleet, and until when those count whose entry is gone.
+    members: Map<String, Option<Time>>,
     /// When the registry last could not be read.
     outage: Option<Time>,
 }
@@ -133,8 +138,11 @@
             Change::Deployed(deployment) => self.deploy(*deployment),
             Change::Leaf(record) => self.register(record),
             Change::LeafGone(name) => self.gone(&name, now),
-            Change::Member(name) => self.members.insert(name),
-            Change::MemberGone(name) => self.members.remove(&name),
+            Change::Member(name) => self.members.insert(name, None).is_none(),
+            Change::MemberGone(name) => {
+                self.leave(&name, now);
+                false
+            }
             Change::Unreadable { key, fault } => {
                 tracing::warn!(key, fault, "an entry of the registry cannot be read");
                 false
@@ -160,27 +168,35 @@
         for name in missing {
             changed |= self.gone(&name, now);
         }
-        changed |= self.members != members;
-        self.members = members;
+        let gone = self.members.keys().filter(|name| !members.contains(*name));
+        let gone: Vec<String> = gone.cloned().collect();
+        for name in gone {
+            self.leave(&name, now);
+        }
         changed
     }
 
-    /// Drops leaves that have not registered again after an outage. Returns
-    /// whether there were any.
+    /// Drops leaves that have not registered again after an outage, and
+    /// processes that are long gone. Returns whether there were any.
     pub fn tick(&mut self, now: Time) -> bool {
+        let count = self.members.len();
+        self.members
+            .retain(|_, until| until.is_none_or(|until| now < until));
         let late = |held: &Held| held.until.is_some_and(|until| now >= until);
         let late = self.leaves.iter().filter(|(_, held)| late(held));
         let late: Vec<String> = late.map(|(name, _)| name.clone()).collect();
         for name in &late {
             self.forget(name);
         }
-        !late.is_empty()
+        !late.is_empty() || self.members.len() != count
     }
 
     /// Returns when [`Self::tick`] is due; none if nothing waits.
     #[must_use]
     pub fn next_tick(&self) -> Option<Time> {
-        self.leaves.values().filter_map(|held| held.until).min()
+        let leaves = self.leaves.values().filter_map(|held| held.until);
+        let members = self.members.values().filter_map(|until| *until);
+        leaves.chain(members).min()
     }
 
     /// Returns the version in force; 0 if there is none.
@@ -190,9 +206,8 @@
     }
 
     /// Returns the names of the processes of the fleet.
-    #[must_use]
-    pub fn members(&self) -> &Set<String> {
-        &self.members
+    pub fn members(&self) -> impl Iterator<Item = &String> {
+        self.members.keys()
     }
 
     /// Returns the incarnation of each leaf.
@@ -310,6 +325,13 @@
         }
     }
 
+    /// Takes in that the entry of a process is gone.
+    fn leave(&mut self, name: &str, now: Time) {
+        if let Some(until) = self.members.get_mut(name) {
+            until.get_or_insert(now.after(MEMBER_TIME));
+        }
+    }
+
     fn forget(&mut self, name: &str) {
         if let Some(held) = self.leaves.remove(name) {
             tracing::info!(leaf = name, "the entry of a leaf is gone");
--- a/crates/guavacourse/src/modules/extra.rs
+++ b/crates/guavacourse/src/modules/extra.rs
@@ -99,7 +99,7 @@
 
     /// Counts an extra call for a service, if the budget has room for it.
     pub fn spend(&mut self, service: &str, why: Extra, now: Time) -> bool {
-        let fixed = self.terms.fixed / f64::from(self.members);
+        let fixed = self.fixed_share(now);
         let ratio = self.terms.ratio;
         self.slice(service, now);
         let Some(counts) = self.services.get_mut(service) else {
@@ -119,6 +119,15 @@
         allowed
     }
 
+    /// Returns this process's share of the fixed number. It grows over the first
+    /// window: what a process spent before it was restarted is not known to it.
+    fn fixed_share(&self, now: Time) -> f64 {
+        let span = self.terms.window.as_secs_f64();
+        let age = now.since(Time::default()).as_secs_f64();
+        let grown = (age / span).min(1.0);
+        self.terms.fixed * grown / f64::from(self.members)
+    }
+
     /// Returns the slice of the present time, and forgets those past the window.
     fn slice(&mut self, service: &str, now: Time) -> &mut Slice {
         let span = self.terms.window / SLICES;
--- a/crates/guavacourse/tests/directory.rs
+++ b/crates/guavacourse/tests/directory.rs
@@ -142,3 +142,19 @@
     let service = catalog.shards[key].service;
     assert_eq!(catalog.services[service].connections, 10);
 }
+
+#[test]
+fn a_process_whose_entry_was_taken_away_still_counts() {
+    let mut directory = directory();
+    for name in ["m-1", "m-2"] {
+        directory.apply(Change::Member(name.to_owned()), at(0));
+    }
+    directory.apply(Change::MemberGone("m-1".to_owned()), at(1_000));
+    assert_eq!(directory.members().count(), 2);
+    directory.apply(Change::Member("m-1".to_owned()), at(5_000));
+    assert!(!directory.tick(at(40_000)));
+    directory.replace(reading(&["a", "b"]), at(50_000));
+    assert!(!directory.tick(at(79_999)));
+    assert!(directory.tick(at(80_000)));
+    assert_eq!(directory.members().count(), 0);
+}
--- a/crates/guavacourse/tests/forwarding.rs
+++ b/crates/guavacourse/tests/forwarding.rs
@@ -35,22 +35,30 @@
 fn members_share_the_fixed_part_and_spend_their_own_ratio() {
     let mut budgets = ExtraBudgets::new(TERMS, 6);
     for _ in 0..100 {
-        budgets.request("desk", at(0));
+        budgets.request("desk", at(20_000));
     }
     // (100 x 0.2 + 54 / 6) x 0.9
-    assert_eq!(spent(&mut budgets, Extra::Retry, at(0)), 26);
-    assert!(!budgets.spend("desk", Extra::Hedge, at(9_000)));
-    assert!(budgets.spend("other", Extra::Hedge, at(0)));
+    assert_eq!(spent(&mut budgets, Extra::Retry, at(20_000)), 26);
+    assert!(!budgets.spend("desk", Extra::Hedge, at(29_000)));
+    assert!(budgets.spend("other", Extra::Hedge, at(20_000)));
 }
 
 #[test]
 fn hedges_leave_room_for_retries() {
     let mut budgets = ExtraBudgets::new(TERMS, 6);
     for _ in 0..100 {
-        budgets.request("desk", at(0));
+        budgets.request("desk", at(20_000));
     }
-    assert_eq!(spent(&mut budgets, Extra::Hedge, at(0)), 15);
-    assert_eq!(spent(&mut budgets, Extra::Retry, at(0)), 11);
+    assert_eq!(spent(&mut budgets, Extra::Hedge, at(20_000)), 15);
+    assert_eq!(spent(&mut budgets, Extra::Retry, at(20_000)), 11);
+}
+
+#[test]
+fn a_restarted_process_earns_its_fixed_share_over_a_window() {
+    let mut budgets = ExtraBudgets::new(TERMS, 6);
+    assert!(!budgets.spend("desk", Extra::Retry, at(100)));
+    // 54 / 6 x 0.5 x 0.9
+    assert_eq!(spent(&mut budgets, Extra::Retry, at(5_000)), 4);
 }
 
 proptest! {
@@ -59,7 +67,7 @@
     #[test]
     fn no_sliding_window_is_overspent(steps in prop::collection::vec((1u64..400, 0u8..3), 1..600)) {
         let mut budgets = ExtraBudgets::new(TERMS, 3);
-        let mut now = 0;
+        let mut now = 20_000;
         let mut requests = Vec::new();
         let mut extras = Vec::new();
         for (gap, what) in steps {
