--- a/crates/guavacourse/src/edge/gateway/follow.rs
+++ b/crates/guavacourse/src/edge/gateway/follow.rs
@@ -9,7 +9,7 @@
 use crate::{
     edge::{clock::Clock, published::Published, worker::Stop},
     modules::{
-        directory::Directory,
+        directory::{Directory, Note},
         inventory::Address,
         members::{Member, Role},
         time::Time,
@@ -170,7 +170,11 @@
     fn update(&self, change: impl FnOnce(&mut Directory, Time) -> bool) {
         let now = self.plan.clock.now();
         let mut directory = self.directory.borrow_mut();
-        if change(&mut directory, now) {
+        let different = change(&mut directory, now);
+        for note in directory.take_notes() {
+            log(&note);
+        }
+        if different {
             self.publish(&directory, now);
         }
     }
@@ -202,6 +206,28 @@
     }
 }
 
+/// Writes what changed the belief of this process to the log.
+fn log(note: &Note) {
+    match note {
+        Note::InForce { version } => tracing::info!(version, "a configuration is in force"),
+        Note::OlderVersion { held, offered } => tracing::warn!(
+            held,
+            offered,
+            "an older configuration is not put in force; write one of a higher version"
+        ),
+        Note::Registered { leaf, state, born } => {
+            tracing::info!(leaf, ?state, born, "a leaf registered");
+        }
+        Note::OldEntry { leaf } => tracing::debug!(leaf, "an old entry of a leaf is ignored"),
+        Note::Gone { leaf } => tracing::info!(leaf, "the entry of a leaf is gone"),
+        Note::Unreadable { key, fault } => tracing::warn!(
+            key,
+            fault,
+            "an entry of the registry cannot be read; correct or remove it"
+        ),
+    }
+}
+
 /// Pauses between failed calls: they grow, and vary so that processes do not
 /// call together.
 #[derive(Debug, Default)]
--- a/crates/guavacourse/src/modules/directory.rs
+++ b/crates/guavacourse/src/modules/directory.rs
@@ -96,6 +96,49 @@
     pub changes: Vec<Change>,
 }
 
+/// What changed the belief of a process, for its log.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Note {
+    /// A version came into force.
+    InForce {
+        /// The version.
+        version: u64,
+    },
+    /// A lower version than the one in force was offered.
+    OlderVersion {
+        /// The version in force.
+        held: u64,
+        /// The version offered.
+        offered: u64,
+    },
+    /// A leaf registered, or told something new of itself.
+    Registered {
+        /// Its name.
+        leaf: String,
+        /// Whether it takes new work.
+        state: MemberState,
+        /// Its incarnation.
+        born: u64,
+    },
+    /// The entry of a leaf is older than what is known.
+    OldEntry {
+        /// Its name.
+        leaf: String,
+    },
+    /// A leaf is gone.
+    Gone {
+        /// Its name.
+        leaf: String,
+    },
+    /// An entry cannot be read; told once for each content.
+    Unreadable {
+        /// Its key.
+        key: String,
+        /// What is wrong with it.
+        fault: String,
+    },
+}
+
 /// What one process knows of the configuration and the leaves.
 #[derive(Debug, Default)]
 pub struct Directory {
@@ -107,6 +150,9 @@
     members: Map<String, Option<Time>>,
     /// When the registry last could not be read.
     outage: Option<Time>,
+    /// Faults of the entries that cannot be read, by key.
+    unreadable: Map<String, String>,
+    notes: Vec<Note>,
 }
 
 #[derive(Clone, Debug)]
@@ -144,7 +190,7 @@
                 false
             }
             Change::Unreadable { key, fault } => {
-                tracing::warn!(key, fault, "an entry of the registry cannot be read");
+                self.note_unreadable(key, fault);
                 false
             }
         }
@@ -191,6 +237,11 @@
         !late.is_empty() || self.members.len() != count
     }
 
+    /// Returns what has changed the belief since the last call.
+    pub fn take_notes(&mut self) -> Vec<Note> {
+        std::mem::take(&mut self.notes)
+    }
+
     /// Returns when [`Self::tick`] is due; none if nothing waits.
     #[must_use]
     pub fn next_tick(&self) -> Option<Time> {
@@ -262,19 +313,27 @@
         services
     }
 
+    fn note_unreadable(&mut self, key: String, fault: String) {
+        if self.unreadable.get(&key) == Some(&fault) {
+            return;
+        }
+        if self.unreadable.len() >= PAST_MAX {
+            self.unreadable.clear();
+        }
+        self.unreadable.insert(key.clone(), fault.clone());
+        self.notes.push(Note::Unreadable { key, fault });
+    }
+
     fn deploy(&mut self, deployment: Deployment) -> bool {
         let held = self.version();
-        if deployment.version <= held {
-            if deployment.version < held {
-                tracing::warn!(
-                    held,
-                    offered = deployment.version,
-                    "an older configuration is not put in force"
-                );
+        let offered = deployment.version;
+        if offered <= held {
+            if offered < held {
+                self.notes.push(Note::OlderVersion { held, offered });
             }
             return false;
         }
-        tracing::info!(version = deployment.version, "a configuration is in force");
+        self.notes.push(Note::InForce { version: offered });
         self.deployment = Some(deployment);
         true
     }
@@ -285,20 +344,18 @@
         let known = held.map(|held| (held.record.born, held.record.sequence));
         let known = known.or_else(|| self.past.get(&record.name).copied());
         if known.is_some_and(|known| stamp < known) {
-            tracing::debug!(leaf = record.name, "an old entry of a leaf is ignored");
+            self.notes.push(Note::OldEntry { leaf: record.name });
             return false;
         }
         self.past.remove(&record.name);
         let told = |r: &LeafRecord| (r.service.clone(), r.address, r.slots, r.state, r.born);
         let same = held.is_some_and(|h| told(&h.record) == told(&record));
         if !same {
-            let state = record.state;
-            tracing::info!(
-                leaf = record.name,
-                ?state,
-                born = record.born,
-                "a leaf registered"
-            );
+            self.notes.push(Note::Registered {
+                leaf: record.name.clone(),
+                state: record.state,
+                born: record.born,
+            });
         }
         let until = None;
         self.leaves
@@ -334,7 +391,8 @@
 
     fn forget(&mut self, name: &str) {
         if let Some(held) = self.leaves.remove(name) {
-            tracing::info!(leaf = name, "the entry of a leaf is gone");
+            let leaf = name.to_owned();
+            self.notes.push(Note::Gone { leaf });
             if self.past.len() >= PAST_MAX {
                 self.past.clear();
             }
--- a/crates/guavacourse/src/modules/query.rs
+++ b/crates/guavacourse/src/modules/query.rs
@@ -102,7 +102,7 @@
     repeatable: bool,
     /// When an answer is of full use no longer.
     target: Option<Time>,
-    /// Time from which a call without a reply is late for the caller's target.
+    /// Age at which a call without a reply is late for the caller's target.
     late: Option<Duration>,
     /// Whether leaves receive the caller's own request.
     forwarded: bool,
--- a/crates/guavacourse/src/modules/query/calls.rs
+++ b/crates/guavacourse/src/modules/query/calls.rs
@@ -149,10 +149,7 @@
     fn hedge_choice(&self, index: usize, turn: &Turn<'_>) -> Option<Choice> {
         let slot = &self.slots[index];
         let other = self.choose(index, turn);
-        if self.unproven() {
-            return other;
-        }
-        if self.terms.forwarded {
+        if self.unproven() || self.terms.forwarded {
             return other;
         }
         let other = other.filter(|choice| !turn.tier.avoided(choice.id, turn.now));
--- a/crates/guavacourse/tests/directory.rs
+++ b/crates/guavacourse/tests/directory.rs
@@ -5,7 +5,7 @@
 
 use guavacourse::modules::{
     catalog::LeafId,
-    directory::{Change, Deployment, Directory, LeafRecord, Reading},
+    directory::{Change, Deployment, Directory, LeafRecord, Note, Reading},
     inventory::{Address, Kind, LeafState},
     keys::KeyRange,
     members::MemberState,
@@ -158,3 +158,23 @@
     assert!(directory.tick(at(80_000)));
     assert_eq!(directory.members().count(), 0);
 }
+
+#[test]
+fn an_entry_that_cannot_be_read_is_told_once_and_changes_nothing() {
+    let mut directory = directory();
+    directory.take_notes();
+    let unreadable = |fault: &str| Change::Unreadable {
+        key: "k".to_owned(),
+        fault: fault.to_owned(),
+    };
+    let note = |fault: &str| Note::Unreadable {
+        key: "k".to_owned(),
+        fault: fault.to_owned(),
+    };
+    for fault in ["no version", "no version", "no routes"] {
+        assert!(!directory.apply(unreadable(fault), at(1)));
+    }
+    let notes = directory.take_notes();
+    assert_eq!(notes, [note("no version"), note("no routes")]);
+    assert_eq!((names(&directory).len(), directory.version()), (2, 3));
+}
