--- a/crates/guavacourse/src/edge/http/head.rs
+++ b/crates/guavacourse/src/edge/http/head.rs
@@ -13,7 +13,7 @@
 pub(super) const HEADERS_MAX: usize = 64;
 
 /// Bytes asked of the socket at a time.
-const CHUNK: usize = 4 * 1024;
+const CHUNK: usize = 2 * 1024;
 
 /// Why a message was refused. The text names the fault and the remedy.
 #[derive(Debug, Error)]
