fix(gateway): count an answer as under way until it is written

Cause, by reading: at a stop the gateway counted a request as done when its answer was made, so that one still being written could be cut. http::serve holds a response until it is written (shown by http_edge.rs); the count hangs on the response now. Requests refused without a configuration are asked to return after 250 to 750 ms.

--- a/crates/guavacourse/src/edge/gateway/requests.rs
+++ b/crates/guavacourse/src/edge/gateway/requests.rs
@@ -20,12 +20,19 @@
 /// Time that an answer needs to reach its caller.
 const DELIVERY: Duration = Duration::from_millis(12);
 
-/// Shortest time after which a refused request may be repeated.
+/// Shortest time after which a request that found no room may be repeated: about
+/// the time of a few calls.
 const RETRY_MIN: Duration = Duration::from_millis(40);
 
 /// Time over which the repeats of refused requests are spread.
 const RETRY_SPREAD: Duration = Duration::from_millis(160);
 
+/// Shortest time after which a request that found no configuration may be
+/// repeated, and the time over which such repeats are spread: a process that
+/// starts without the store looks for it each 0.7 s at the latest.
+const UNREADY_MIN: Duration = Duration::from_millis(250);
+const UNREADY_SPREAD: Duration = Duration::from_millis(500);
+
 /// Answers one request.
 pub(super) async fn handle(traffic: &Rc<Traffic>, mut request: Request) -> Response {
     let body = request.body_bytes().await.unwrap_or_default();
@@ -40,7 +47,10 @@
     let started = traffic.clock.now();
     let view = traffic.view.load();
     if !view.ready() {
-        return not_run("no configuration is in force here yet");
+        return Outgoing::NotRun {
+            retry: UNREADY_MIN + UNREADY_SPREAD.mul_f64(fastrand::f64()),
+            why: "no configuration is in force here yet".to_owned(),
+        };
     }
     let Some(kind) = view.catalog.forwarded(&incoming.host, &incoming.path) else {
         return Outgoing::NotFound;
--- a/crates/guavacourse/src/edge/gateway/serve.rs
+++ b/crates/guavacourse/src/edge/gateway/serve.rs
@@ -260,8 +260,9 @@
         let open = Open::new(&traffic.stopping.open);
         let traffic = &traffic;
         async move {
-            let response = requests::handle(traffic, request).await;
-            drop(open);
+            let mut response = requests::handle(traffic, request).await;
+            // It is under way until its answer is written.
+            response.ext_mut().insert(open);
             response
         }
     };
--- a/crates/guavacourse/tests/http_edge.rs
+++ b/crates/guavacourse/tests/http_edge.rs
@@ -44,8 +44,12 @@
     }
 }
 
-/// A server whose handler repeats the body; `/never` does not answer, and
-/// `/soon` answers a little later.
+/// Bytes of an answer that no socket's buffer holds.
+const HUGE: usize = 64 * 1024 * 1024;
+
+/// A server whose handler repeats the body; `/never` does not answer, `/soon`
+/// answers a little later, and `/huge` answers with [`HUGE`] bytes whose response
+/// holds the run.
 struct Server {
     addr: SocketAddr,
     runs: Arc<Runs>,
@@ -129,6 +133,12 @@
     };
     let body = request.body_string().await.expect("UTF-8");
     run.0.finished.fetch_add(1, Ordering::SeqCst);
+    if path == "/huge" {
+        let mut response = Response::new(200);
+        response.set_body(vec![0; HUGE]);
+        response.ext_mut().insert(run);
+        return response;
+    }
     json_response(200, &format!("{path} {body}"))
 }
 
@@ -444,6 +454,23 @@
     assert_eq!(body, "hi");
 }
 
+#[test]
+fn a_response_is_held_until_it_is_written() {
+    let server = Server::start();
+    let mut stream = server.connect();
+    let request = "GET /huge HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+    stream.write_all(request.as_bytes()).expect("sent");
+    // The first bytes come before the last ones are written.
+    assert!(stream.read(&mut [0]).is_ok_and(|n| n == 1));
+    assert_eq!(server.runs.counts(), [1, 1, 0]);
+    let mut rest = Vec::new();
+    stream.read_to_end(&mut rest).expect("whole");
+    assert!(rest.len() > HUGE);
+    while server.runs.counts() != [1, 1, 1] {
+        std::thread::yield_now();
+    }
+}
+
 #[test]
 fn chunked_responses() {
     let whole =
