--- a/crates/guavacourse/src/modules/mod.rs
+++ b/crates/guavacourse/src/modules/mod.rs
@@ -21,6 +21,7 @@
 pub mod directory;
 pub mod exposure;
 pub mod extra;
+pub mod forwarding;
 pub mod head;
 pub mod hedge;
 pub mod inventory;
--- a/crates/guavacourse/tests/forwarding.rs
+++ b/crates/guavacourse/tests/forwarding.rs
@@ -5,7 +5,8 @@
 use guavacourse::modules::{
     catalog::Catalog,
     extra::{Extra, ExtraBudgets, ExtraTerms},
-    inventory::{Config, Forward, Kind},
+    forwarding::Route,
+    inventory::{Config, Format, Forward, Kind},
     patience::Patience,
     records::greatest,
     split::Split,
@@ -166,3 +167,34 @@
     assert_eq!(patience.age("search", ms(985)), ms(15));
     assert_eq!(patience.age("other", ms(10)), ms(0));
 }
+
+#[test]
+fn a_query_settles_in_time_for_its_target_and_its_time_limit() {
+    let ms = Duration::from_millis;
+    let route = |format| Route {
+        format,
+        limit: ms(1_000),
+        rank: 1,
+        forward: Forward {
+            target: ms(250),
+            ..Forward::default()
+        },
+        ..Route::default()
+    };
+    let query = Kind::from(route(Format::Greatest(20)));
+    assert!(query.settle < ms(250) && query.settle > ms(200));
+    assert!(query.deadline < ms(1_000) && query.deadline > ms(900));
+    let single = Kind::from(route(Format::Whole));
+    assert_eq!(single.settle, Duration::ZERO);
+    let ranks = [0, 1, 2, 99].map(|rank| {
+        Kind::from(Route {
+            rank,
+            ..route(Format::Whole)
+        })
+        .worth
+    });
+    assert!(
+        ranks.is_sorted_by(|a, b| a >= b) && ranks[3] > 0,
+        "{ranks:?}"
+    );
+}
