fix(admission): do not suspect forwarded content that a leaf has run

A forwarded request that callers repeat is in flight on every leaf that is lost. After the first loss its content was a suspect and ran alone; after the second it was quarantined for 30 minutes.

Content that crashes leaves crashes each leaf that begins to run it.

Failing first: forwarded_content_that_ran_before_is_not_suspected (call 2 never dispatched), forwarded_content_that_another_leaf_ran_after_a_crash_is_cleared.

--- a/crates/guavacourse/src/modules/admission.rs
+++ b/crates/guavacourse/src/modules/admission.rs
@@ -52,7 +52,8 @@
     /// Leaves with calls in their trial queue.
     trial_leaves: Set<LeafId>,
     quarantine: Quarantine,
-    /// Contents of canary calls that a leaf has recently run to completion.
+    /// Contents of canary calls and of forwarded calls that a leaf has recently run to
+    /// completion.
     cleared: ClearedContents,
     arrivals: u64,
     leaving: bool,
--- a/crates/guavacourse/src/modules/admission/gate.rs
+++ b/crates/guavacourse/src/modules/admission/gate.rs
@@ -31,6 +31,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct DroppedCall {
     pub(super) call: InFlightCall,
+    /// Whether its content may have crashed the leaf; false if a leaf has run it.
+    pub(super) suspect: bool,
     pub(super) at: Time,
     /// Its reply, held back until it is known whether the leaf is alive.
     pub(super) reply: Option<(SessionId, Reply)>,
--- a/crates/guavacourse/src/modules/admission/outcome.rs
+++ b/crates/guavacourse/src/modules/admission/outcome.rs
@@ -51,6 +51,7 @@
         self.record_ending(&job, ending, since, now);
         self.record_trial(&job, ending);
         self.record_canary(&job, ending, now);
+        self.record_completion(&job, ending, now);
         if wanted {
             let reply = self.reply_to(&job, ending.outcome(), took);
             self.deliver_or_hold(&job, ending, reply);
@@ -282,14 +283,16 @@
             fingerprint: job.part.fingerprint,
             alone: job.alone,
         };
+        let forwarded = job.part.forward.is_some();
         gate.dropped_calls.push(DroppedCall {
             call,
+            suspect: !forwarded || !self.cleared.contains(call.fingerprint, now),
             at: now,
             reply: None,
         });
         // Leaves also lose replies to forwarded requests without crashing, so
         // only a detected crash makes the content a suspect.
-        if job.part.forward.is_none() {
+        if !forwarded {
             self.quarantine.record_dropped_call(call, now);
         }
         if gate.may_connect() {
@@ -311,8 +314,8 @@
             return;
         }
         let dropped_calls = std::mem::take(&mut gate.dropped_calls);
-        let in_flight: Vec<InFlightCall> =
-            dropped_calls.iter().map(|dropped| dropped.call).collect();
+        let suspects = dropped_calls.iter().filter(|dropped| dropped.suspect);
+        let in_flight: Vec<InFlightCall> = suspects.map(|dropped| dropped.call).collect();
         self.counts.crashed += 1;
         let quarantined = self.quarantine.record_crash(&in_flight, now);
         for dropped in dropped_calls {
@@ -334,12 +337,27 @@
         }
         let fingerprint = job.part.fingerprint;
         self.quarantine.end_trial(fingerprint);
-        let has_rows = |answer: &LeafAnswer| matches!(answer.outcome, Outcome::Rows(_));
-        if matches!(ending, Ending::Answered(answer) if has_rows(answer)) {
+        if has_rows(ending) {
             self.quarantine.clear(fingerprint);
         }
     }
 
+    /// Clears the content of a forwarded call that its leaf ran to completion: content
+    /// that crashes leaves crashes each leaf that begins to run it. Callers repeat
+    /// forwarded requests, so such content is often in flight on a leaf that fails for
+    /// another reason.
+    fn record_completion(&mut self, job: &Job, ending: &Ending, now: Time) {
+        if job.part.forward.is_none() || !has_rows(ending) {
+            return;
+        }
+        let content = job.part.fingerprint;
+        self.cleared.add(content, now);
+        self.quarantine.clear(content);
+        if !job.alone {
+            self.release_held(content, now);
+        }
+    }
+
     pub(super) fn close_kept(&mut self, leaf: LeafId) {
         let Some(gate) = self.gates.get_mut(&leaf) else {
             return;
@@ -353,3 +371,7 @@
         }
     }
 }
+
+fn has_rows(ending: &Ending) -> bool {
+    matches!(ending, Ending::Answered(answer) if matches!(answer.outcome, Outcome::Rows(_)))
+}
--- a/crates/guavacourse/tests/admission/quarantine.rs
+++ b/crates/guavacourse/tests/admission/quarantine.rs
@@ -309,3 +309,56 @@
     harness.submit(&forwarded(2, "b"));
     insta::assert_snapshot!(harness.take_steps(), @"");
 }
+
+/// Returns a forwarded call whose content is harmless.
+fn forwarded(attempt: u64, leaf: &'static str) -> CallSpec {
+    CallSpec {
+        forwarded: true,
+        ..call_to(attempt, leaf, HARMLESS)
+    }
+}
+
+/// Crashes a leaf that runs a dispatched attempt.
+fn crash(harness: &mut Harness, attempt: u64, leaf: &str) {
+    harness.drop_connection(attempt);
+    harness.fail_probe(leaf);
+}
+
+// Guards against a quarantine of innocent content, as found by seed 19 of the soak: a
+// query that callers repeat is in flight on each leaf that is lost, and was refused for
+// half an hour after the second loss.
+#[test]
+fn forwarded_content_that_ran_before_is_not_suspected() {
+    let mut harness = Harness::new();
+    harness.submit(&forwarded(1, "a"));
+    harness.take_steps();
+    harness.answer(1);
+    for (attempt, leaf) in [(2, "b"), (3, "c")] {
+        harness.submit(&forwarded(attempt, leaf));
+        harness.take_steps();
+        crash(&mut harness, attempt, leaf);
+        harness.take_steps();
+    }
+    harness.submit(&forwarded(4, "d"));
+    harness.submit(&forwarded(5, "d"));
+    insta::assert_snapshot!(harness.take_steps(), @r"
+    dispatch 4 on a new connection
+    dispatch 5 on a new connection
+    ");
+}
+
+#[test]
+fn forwarded_content_that_another_leaf_ran_after_a_crash_is_cleared() {
+    let mut harness = Harness::new();
+    harness.submit(&forwarded(1, "a"));
+    harness.submit(&forwarded(2, "b"));
+    harness.take_steps();
+    crash(&mut harness, 1, "a");
+    harness.submit(&forwarded(3, "c"));
+    harness.take_steps();
+    harness.answer(2);
+    insta::assert_snapshot!(harness.take_steps(), @r"
+    dispatch 3 on a new connection
+    deliver 2: rows
+    ");
+}
