feat(gateway): read the configuration and the fleet first, leaves from a peer

It is ready then, hands what may be repeated to a strong peer, and gets the leaves from its reader. The first three in the order, and all where fewer than 4 share a reader, read the rest at once; others after 0.8 s and a step without a source. A first reading logs one line.

--- a/crates/guavacourse/src/edge/gateway/follow.rs
+++ b/crates/guavacourse/src/edge/gateway/follow.rs
@@ -31,7 +31,7 @@
         worker::StopSignal,
     },
     modules::{
-        directory::{Directory, RegistryReading},
+        directory::{Change, Directory, FirstReading, RegistryReading},
         inventory::Address,
         journal::Journal,
         members::{Member, MemberState, Role},
@@ -111,6 +111,9 @@
     revision: Cell<u64>,
     /// When this process last knew that it was up to date.
     fresh_at: Cell<Option<Time>>,
+    /// When this process first knew the configuration and the fleet, without all
+    /// leaves; `None` if it never did.
+    fleet_known: Cell<Option<Time>>,
 }
 
 /// Progress of this process's own reads of the registry.
@@ -132,6 +135,7 @@
             waiters: RefCell::default(),
             revision: Cell::new(0),
             fresh_at: Cell::new(None),
+            fleet_known: Cell::new(None),
             setup,
             registry,
         }
@@ -139,13 +143,14 @@
 
     async fn follow(&self) {
         let mut state = ReadState::default();
+        self.read_first(&mut state).await;
         loop {
             let plan = self.reader_plan();
             if self.follow_source(&plan).await {
                 state.after = None;
                 continue;
             }
-            let behind = self.age().is_none_or(|age| age >= plan.fallback_age);
+            let behind = self.is_behind(&plan);
             if plan.sources.is_empty() || behind || state.after.is_some() {
                 self.read_registry(&mut state, plan.watch_timeout).await;
             } else {
@@ -154,6 +159,37 @@
         }
     }
 
+    /// Reads the configuration and the fleet. If that leaves out leaves, they come from
+    /// a source: in a large fleet, the whole registry is too much for each process to
+    /// read when all start together.
+    async fn read_first(&self, state: &mut ReadState) {
+        match self.registry.read_first().await {
+            Ok(FirstReading {
+                reading,
+                whole: true,
+            }) => {
+                state.after = Some(reading.as_of);
+                self.apply_reading(reading, true, self.setup.clock.now());
+            }
+            Ok(FirstReading { reading, .. }) => {
+                self.fleet_known.set(Some(self.setup.clock.now()));
+                self.apply_changes(reading.without_leaves().changes);
+            }
+            Err(error) => self.record_failure(state, &error).await,
+        }
+    }
+
+    /// Returns whether this process has to read the registry itself, because no source
+    /// has brought it up to date in time.
+    fn is_behind(&self, plan: &ReaderPlan) -> bool {
+        let now = self.setup.clock.now();
+        match (self.age(), self.fleet_known.get()) {
+            (Some(age), _) => age >= plan.fallback_age,
+            (None, Some(known)) => now.since(known) >= plan.start_wait,
+            (None, None) => true,
+        }
+    }
+
     fn reader_plan(&self) -> ReaderPlan {
         self.readers.plan(self.directory.borrow().members())
     }
@@ -182,25 +218,33 @@
                 );
                 state.after = None;
             }
-            Err(error) => {
-                let now = self.setup.clock.now();
-                self.directory.borrow_mut().record_outage(now);
-                state.backoff.wait(&error).await;
-            }
+            Err(error) => self.record_failure(state, &error).await,
         }
     }
 
+    /// Records that the registry could not be read, and waits before the next call.
+    async fn record_failure(&self, state: &mut ReadState, error: &RegistryError) {
+        let now = self.setup.clock.now();
+        self.directory.borrow_mut().record_outage(now);
+        state.backoff.wait(error).await;
+    }
+
     /// Applies a reading of the registry that was up to date at `fresh_at`.
     /// `whole` says that it holds the whole registry, not only changes.
     fn apply_reading(&self, reading: RegistryReading, whole: bool, fresh_at: Time) {
         self.revision.set(self.revision.get().max(reading.as_of));
         self.fresh_at.set(self.fresh_at.get().max(Some(fresh_at)));
+        if whole {
+            self.update(|directory, now| directory.replace(reading, now));
+        } else {
+            self.apply_changes(reading.changes);
+        }
+    }
+
+    fn apply_changes(&self, changes: Vec<Change>) {
         self.update(|directory, now| {
-            if whole {
-                return directory.replace(reading, now);
-            }
             let mut different = false;
-            for change in reading.changes {
+            for change in changes {
                 different |= directory.apply(change, now);
             }
             different
--- a/crates/guavacourse/src/edge/gateway/follow/events.rs
+++ b/crates/guavacourse/src/edge/gateway/follow/events.rs
@@ -13,6 +13,7 @@
             offered,
             "an older configuration is ignored; write one with a higher version"
         ),
+        DirectoryEvent::Loaded { leaves } => tracing::info!(leaves, "the leaves are known"),
         DirectoryEvent::Registered { leaf, state, born } => {
             tracing::info!(leaf, ?state, born, "a leaf registered");
         }
--- a/crates/guavacourse/src/edge/gateway/registry.rs
+++ b/crates/guavacourse/src/edge/gateway/registry.rs
@@ -4,7 +4,7 @@
 
 use thiserror::Error;
 
-use crate::modules::directory::RegistryReading;
+use crate::modules::directory::{FirstReading, RegistryReading};
 
 /// Why a call to the registry failed.
 #[derive(Debug, Error)]
@@ -19,6 +19,10 @@
 
 /// The platform's registry of the configuration, the leaves and the fleet.
 pub trait Registry {
+    /// Reads the configuration and the processes of the fleet, in as few calls as
+    /// possible.
+    fn read_first(&self) -> impl Future<Output = Result<FirstReading, RegistryError>>;
+
     /// Reads the whole registry.
     fn read(&self) -> impl Future<Output = Result<RegistryReading, RegistryError>>;
 
--- a/crates/guavacourse/src/edge/gateway/requests.rs
+++ b/crates/guavacourse/src/edge/gateway/requests.rs
@@ -85,10 +85,9 @@
     view: &Arc<View>,
     request: QueryRequest,
 ) -> Result<CallerAnswer, QueryRequest> {
-    let kind = view.catalog.kinds.get(&request.kind);
-    let shards = kind.map_or(0, |kind| kind.shards.len());
     let sent = traffic.clock.now();
-    let peer = traffic.balancer.borrow_mut().peer_for(view, shards, sent);
+    let kind = view.catalog.kinds.get(&request.kind);
+    let peer = kind.and_then(|kind| traffic.balancer.borrow_mut().peer_for(view, kind, sent));
     let Some(peer) = peer else {
         return Err(request);
     };
--- a/crates/guavacourse/src/modules/delegation.rs
+++ b/crates/guavacourse/src/modules/delegation.rs
@@ -11,9 +11,9 @@
 use std::{sync::Arc, time::Duration};
 
 use super::{
-    catalog::{LeafId, LeafKey},
+    catalog::{KindEntry, LeafId, LeafKey},
     collections::Map,
-    inventory::Address,
+    inventory::{Address, Class},
     members::{Member, MemberState},
     ownership::mix,
     replicas::{Candidate, LeafStats, rank},
@@ -82,15 +82,18 @@
         }
     }
 
-    /// Returns the peer in the same data centre that runs a query over `shards`
-    /// shards, or `None` if this process runs it itself.
+    /// Returns the peer in the same data centre that runs a query of a kind, or `None`
+    /// if this process runs it itself. A process that has just started may not know
+    /// the leaves of the kind yet; it delegates whatever may be repeated.
     pub fn peer_for_query(
         &mut self,
         view: &Arc<View>,
-        shards: usize,
+        kind: &KindEntry,
         now: Time,
     ) -> Option<Address> {
-        if shards < MIN_SHARDS {
+        let wide = kind.rules.services.len() >= MIN_SHARDS;
+        let leaves_unknown = kind.shards.is_empty() && kind.rules.class == Class::Query;
+        if !wide && !leaves_unknown {
             return None;
         }
         let data_centre = self.own.data_centre.clone();
--- a/crates/guavacourse/src/modules/directory.rs
+++ b/crates/guavacourse/src/modules/directory.rs
@@ -12,7 +12,9 @@
 use std::{sync::Arc, time::Duration};
 
 use self::fleet::Fleet;
-pub use self::records::{Change, Deployment, DirectoryEvent, LeafRecord, RegistryReading};
+pub use self::records::{
+    Change, Deployment, DirectoryEvent, FirstReading, LeafRecord, RegistryReading,
+};
 use super::{
     catalog::{Catalog, LeafId},
     collections::{Map, Set},
@@ -100,6 +102,7 @@
     /// Applies a reading of the whole registry: leaves and members that it does
     /// not contain count as missing. Returns whether the directory is different now.
     pub fn replace(&mut self, reading: RegistryReading, now: Time) -> bool {
+        let first = self.leaves.is_empty();
         let mut leaves = Set::default();
         let mut members = Set::default();
         let mut changed = false;
@@ -119,9 +122,24 @@
         for name in self.fleet.missing(&members) {
             changed |= self.member_missing(name, now);
         }
+        if first {
+            self.summarize_registrations();
+        }
         changed
     }
 
+    /// Replaces the events of leaves that registered by one, so that a start does not
+    /// log each leaf.
+    fn summarize_registrations(&mut self) {
+        let registered =
+            |event: &DirectoryEvent| matches!(event, DirectoryEvent::Registered { .. });
+        self.events.retain(|event| !registered(event));
+        let leaves = self.leaves.len();
+        if leaves > 0 {
+            self.events.push(DirectoryEvent::Loaded { leaves });
+        }
+    }
+
     /// Removes leaves that have not registered again after an outage, and
     /// processes whose entry has been gone for a while. Returns whether there
     /// were any.
--- a/crates/guavacourse/src/modules/directory/records.rs
+++ b/crates/guavacourse/src/modules/directory/records.rs
@@ -76,6 +76,25 @@
     pub changes: Vec<Change>,
 }
 
+impl RegistryReading {
+    /// Removes the changes of leaves, and returns the rest.
+    #[must_use]
+    pub fn without_leaves(mut self) -> Self {
+        self.changes
+            .retain(|change| !matches!(change, Change::Leaf(_) | Change::LeafGone(_)));
+        self
+    }
+}
+
+/// What the first call of a process to the registry returned.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct FirstReading {
+    /// The configuration and all processes of the fleet, but maybe not all leaves.
+    pub reading: RegistryReading,
+    /// Whether it holds the whole registry.
+    pub whole: bool,
+}
+
 /// An event in the directory, for the log of the process.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum DirectoryEvent {
@@ -91,6 +110,11 @@
         /// The version offered.
         offered: u64,
     },
+    /// The leaves were read for the first time.
+    Loaded {
+        /// How many there are.
+        leaves: usize,
+    },
     /// A leaf registered, or its entry changed.
     Registered {
         /// Its name.
--- a/crates/guavacourse/src/modules/load_balancer.rs
+++ b/crates/guavacourse/src/modules/load_balancer.rs
@@ -7,7 +7,7 @@
     answer::Cause,
     budget::Budget,
     call::{AttemptId, NotRun, Outcome, Reply},
-    catalog::{LeafEntry, LeafId, LeafKey, ShardKey},
+    catalog::{KindEntry, LeafEntry, LeafId, LeafKey, ShardKey},
     cleared::ClearedContents,
     collections::Map,
     delegation::Delegation,
@@ -140,15 +140,15 @@
         self
     }
 
-    /// Returns the peer that runs a query over `shards` shards, or `None` if this
-    /// process runs it itself.
+    /// Returns the peer that runs a query of a kind, or `None` if this process runs it
+    /// itself.
     pub(crate) fn peer_for(
         &mut self,
         view: &Arc<View>,
-        shards: usize,
+        kind: &KindEntry,
         now: Time,
     ) -> Option<Address> {
-        self.peers.as_mut()?.peer_for_query(view, shards, now)
+        self.peers.as_mut()?.peer_for_query(view, kind, now)
     }
 
     /// Returns the services that the next request of a kind calls: all of them, or
--- a/crates/guavacourse/src/modules/readers.rs
+++ b/crates/guavacourse/src/modules/readers.rs
@@ -45,6 +45,10 @@
 /// processes call a registry that is unavailable to all.
 const FALLBACK_DELAY: Duration = Duration::from_millis(200);
 
+/// Time for which a process that has just started waits for a source, before it reads
+/// the leaves itself. The sources may have started at the same moment.
+const START_WAIT: Duration = Duration::from_millis(800);
+
 /// How a process gets the changes of the registry.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ReaderPlan {
@@ -54,6 +58,9 @@
     pub max_age: Duration,
     /// Age of its own state from which the process reads the registry itself.
     pub fallback_age: Duration,
+    /// Time after its start from which a process that no source has served reads the
+    /// registry itself. Zero for those that others may follow.
+    pub start_wait: Duration,
     /// Longest wait of a watch of the registry.
     pub watch_timeout: Duration,
 }
@@ -113,10 +120,16 @@
             MAX_WATCH_TIMEOUT
         };
         let max_age = watch_timeout + SOURCE_LAG_TOLERANCE;
+        let start_wait = if shared && rank >= MAX_SOURCES {
+            START_WAIT + FALLBACK_DELAY * steps
+        } else {
+            Duration::ZERO
+        };
         ReaderPlan {
             sources: candidates.into_iter().take(sources).cloned().collect(),
             max_age,
             fallback_age: max_age + FALLBACK_DELAY * steps,
+            start_wait,
             watch_timeout,
         }
     }
