fix(query): call again replicas that refuse a call as expired while time is left

Trace: 14 of 15 shards merged; the last one's calls ended unreachable, shed, queue-full and expired at 2.5 s of 18.5 s, because some hundred calls waited for its leaf; the query then counted the shard as lost. An expired call is a call that waits too long now, not for ever. Forwarded requests keep giving up: their callers have a target latency and come again.

Failing first: replicas_that_refuse_calls_as_expired_are_called_again_until_the_deadline

--- a/crates/guavacourse/src/modules/query/replies.rs
+++ b/crates/guavacourse/src/modules/query/replies.rs
@@ -117,8 +117,12 @@
 
     fn handle_not_run(&mut self, attempt: Attempt, why: NotRun, ctx: &mut EventContext<'_>) {
         self.suspicion.on_not_run(attempt.id);
+        // A relay also refuses a call as expired if too many others wait. The queue may be
+        // shorter later, and a caller without a target latency waits until its deadline.
+        let queued = why == NotRun::Expired && !self.params.forwarded;
+        let reason = if queued { NotRun::QueueFull } else { why };
         let slot = &mut self.slots[attempt.slot];
-        slot.history = slot.history.after_not_run(why);
+        slot.history = slot.history.after_not_run(reason);
         slot.record_not_run();
         if attempt.delegated {
             return self.reroute(attempt, ctx);
--- a/crates/guavacourse/tests/query/plan.rs
+++ b/crates/guavacourse/tests/query/plan.rs
@@ -136,6 +136,19 @@
 
 #[test]
 fn overloaded_replicas_are_called_again_until_the_deadline() {
+    check_called_again(NotRun::QueueFull);
+}
+
+// Guards against giving up with most of the time left: beside other work on the machine,
+// the calls of a thousand queries waited for one leaf, and its relay refused the last
+// ones as expired.
+#[test]
+fn replicas_that_refuse_calls_as_expired_are_called_again_until_the_deadline() {
+    check_called_again(NotRun::Expired);
+}
+
+/// Checks that a query goes on calling replicas that refuse its calls with `reason`.
+fn check_called_again(reason: NotRun) {
     let fixture = Fixture {
         shards: 1,
         ..Fixture::default()
@@ -143,7 +156,7 @@
     let mut driver = Driver::start(&fixture.view(1));
     for round in 1..8 {
         for sent in driver.take_sent() {
-            driver.refuse(sent, NotRun::QueueFull);
+            driver.refuse(sent, reason);
         }
         driver.advance(ms(10 * round));
     }
