fix(http): bound the memory and the work for responses without end

Bytes that are no answer may come without end. Each response was read up to 8 MB, with no bound for all of them together, and the chunks of a body were parsed from its start at each read: 24 leaves that sent one-byte chunks kept the traffic thread busy for 10 minutes until the test was ended.

--- a/crates/guavacourse/src/edge/http/client.rs
+++ b/crates/guavacourse/src/edge/http/client.rs
@@ -15,11 +15,15 @@
 use super::{
     head::{Framing, MAX_HEAD_BYTES, MessageError, MessageKind, body, read_body, read_head},
     message::{self, ResponseHead},
+    receive_memory::ReceiveMemory,
 };
 
 /// Largest response body, in bytes.
 const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 
+/// Bytes of a connection that may be discarded while it is being closed.
+const MAX_DISCARDED_BYTES: usize = 64 * 1024;
+
 /// Fraction of a server's keep-alive timeout for which an idle connection is
 /// reused.
 const KEEP_ALIVE_FRACTION: f64 = 0.8;
@@ -61,6 +65,8 @@
     keep_alive: Option<Duration>,
     /// When the last exchange ended.
     last_used: Instant,
+    /// Memory for the responses of this connection and others, if it is limited.
+    memory: Option<ReceiveMemory>,
 }
 
 impl Connection {
@@ -80,9 +86,18 @@
             allow_close_delimited: false,
             keep_alive: None,
             last_used: Instant::now(),
+            memory: None,
         })
     }
 
+    /// Limits the memory for the responses of this connection together with all others
+    /// that share `memory`.
+    #[must_use]
+    pub fn with_memory(mut self, memory: ReceiveMemory) -> Self {
+        self.memory = Some(memory);
+        self
+    }
+
     /// Sets whether responses without a length, which end when the connection
     /// closes, are accepted.
     #[must_use]
@@ -135,9 +150,20 @@
         if head.framing == Framing::CloseDelimited && !self.allow_close_delimited {
             return Err(exchange_error(MessageError::LengthRequired));
         }
-        let end = read_body(&mut self.stream, &mut self.buf, head, MAX_BODY_BYTES)
-            .await
-            .map_err(exchange_error)?;
+        let mut share = self.memory.as_ref().map(ReceiveMemory::share);
+        let reserve = |size| share.as_mut().map_or(Ok(()), |share| share.grow(size));
+        let read = read_body(
+            &mut self.stream,
+            &mut self.buf,
+            head,
+            MAX_BODY_BYTES,
+            reserve,
+        );
+        let end = read.await.map_err(|error| {
+            // The connection may stay open for a while, until the server has closed it.
+            self.buf = Vec::new();
+            exchange_error(error)
+        })?;
         self.must_close = head.close || self.buf.len() > end;
         self.buf.truncate(end);
         let message = std::mem::take(&mut self.buf);
@@ -167,14 +193,21 @@
     }
 
     /// Closes the connection, which cancels its request, and waits until the
-    /// server has closed too, but no longer than `timeout`.
+    /// server has closed too, but no longer than `timeout`, and not if the server goes
+    /// on sending.
     pub async fn close(mut self, timeout: Duration) {
         if self.stream.shutdown(Shutdown::Write).is_err() {
             return;
         }
         let closed = async {
             let mut rest = [0; 1024];
-            while self.stream.read(&mut rest).await.is_ok_and(|n| n > 0) {}
+            let mut discarded = 0;
+            while discarded < MAX_DISCARDED_BYTES {
+                match self.stream.read(&mut rest).await {
+                    Ok(size) if size > 0 => discarded += size,
+                    _ => return,
+                }
+            }
         };
         let timed_out = async {
             Timer::after(timeout).await;
--- a/crates/guavacourse/src/edge/http/head.rs
+++ b/crates/guavacourse/src/edge/http/head.rs
@@ -48,6 +48,9 @@
     /// The syntax of a chunk is invalid, or trailers follow the chunks.
     #[error("a chunk of the body is not valid; send its size in hexadecimal, then its bytes")]
     Chunk,
+    /// The messages that are being read together take too much memory.
+    #[error("the messages being read take over {0} bytes; send smaller ones")]
+    NoMemory(usize),
     /// The socket failed.
     #[error("the connection failed: {0}")]
     Io(#[from] io::Error),
@@ -115,13 +118,16 @@
 
 /// Reads from `stream` until `buf` holds the whole message of `head`, and
 /// returns where in `buf` it ends. A body that announces over `limit` bytes, or
-/// has not ended after twice as many, is rejected.
+/// has not ended after twice as many, is rejected. `reserve` is called with the size of
+/// the message so far, and may reject it.
 pub(super) async fn read_body(
     stream: &mut (impl AsyncRead + Unpin),
     buf: &mut Vec<u8>,
     head: Head,
     limit: usize,
+    mut reserve: impl FnMut(usize) -> Result<(), MessageError>,
 ) -> Result<usize, MessageError> {
+    let mut chunks = Chunks::default();
     loop {
         let received = buf.len().saturating_sub(head.size);
         let end = match head.framing {
@@ -129,7 +135,10 @@
                 return Err(MessageError::BodyTooLong(length, limit));
             }
             Framing::Length(length) => (received >= length).then_some(length),
-            Framing::Chunked => chunks(&buf[head.size..]).map(|chunks| chunks.map(|c| c.end))?,
+            Framing::Chunked => {
+                while chunks.next(&buf[head.size..])?.is_some() {}
+                chunks.end()
+            }
             Framing::CloseDelimited => None,
         };
         if let Some(end) = end {
@@ -138,6 +147,7 @@
         if received > limit.saturating_mul(2) {
             return Err(MessageError::BodyTooLong(received, limit));
         }
+        reserve(buf.len())?;
         if read_some(stream, buf).await? == 0 {
             return match head.framing {
                 Framing::CloseDelimited => Ok(buf.len()),
@@ -153,48 +163,55 @@
     if head.framing != Framing::Chunked {
         return Ok(rest.to_vec());
     }
-    let chunks = chunks(rest)?.ok_or(MessageError::Truncated)?;
-    Ok(chunks
-        .data
-        .iter()
-        .flat_map(|data| &rest[data.clone()])
-        .copied()
-        .collect())
+    let mut chunks = Chunks::default();
+    let mut decoded = Vec::with_capacity(rest.len());
+    while let Some(data) = chunks.next(rest)? {
+        decoded.extend_from_slice(&rest[data]);
+    }
+    chunks.end().ok_or(MessageError::Truncated)?;
+    Ok(decoded)
 }
 
-/// Positions of the chunks of a whole body.
+/// Finds the chunks of a body, each once while the body grows.
+#[derive(Debug, Default)]
 struct Chunks {
-    /// Ranges of the chunks' data.
-    data: Vec<Range<usize>>,
-    /// Where the body ends.
-    end: usize,
+    /// Where the next chunk begins.
+    position: usize,
+    /// Whether the last chunk was found.
+    ended: bool,
 }
 
-/// Finds the chunks of a body; none if it is not whole yet. Trailers are
-/// rejected.
-fn chunks(bytes: &[u8]) -> Result<Option<Chunks>, MessageError> {
-    const CRLF: &[u8] = b"\r\n";
-    let mut data = Vec::new();
-    let mut pos = 0;
-    loop {
-        let parsed = httparse::parse_chunk_size(&bytes[pos..]).map_err(|_| MessageError::Chunk)?;
+impl Chunks {
+    /// Returns where the body ends; none if it is not whole yet.
+    fn end(&self) -> Option<usize> {
+        self.ended.then_some(self.position)
+    }
+
+    /// Returns the position of the next chunk's data; none if it is not whole yet, or
+    /// the body has ended. Trailers are rejected.
+    fn next(&mut self, bytes: &[u8]) -> Result<Option<Range<usize>>, MessageError> {
+        const CRLF: &[u8] = b"\r\n";
+        if self.ended {
+            return Ok(None);
+        }
+        let parsed = httparse::parse_chunk_size(&bytes[self.position..]);
+        let parsed = parsed.map_err(|_| MessageError::Chunk)?;
         let httparse::Status::Complete((head, size)) = parsed else {
             return Ok(None);
         };
-        let start = pos + head;
+        let start = self.position + head;
         let size = usize::try_from(size).map_err(|_| MessageError::Chunk)?;
         let end = start.checked_add(size).ok_or(MessageError::Chunk)?;
-        let Some(terminator) = bytes.get(end..end + CRLF.len()) else {
+        let after = end.checked_add(CRLF.len()).ok_or(MessageError::Chunk)?;
+        let Some(terminator) = bytes.get(end..after) else {
             return Ok(None);
         };
         if terminator != CRLF {
             return Err(MessageError::Chunk);
         }
-        pos = end + CRLF.len();
-        if size == 0 {
-            return Ok(Some(Chunks { data, end: pos }));
-        }
-        data.push(start..end);
+        self.position = after;
+        self.ended = size == 0;
+        Ok((!self.ended).then_some(start..end))
     }
 }
 
--- a/crates/guavacourse/src/edge/http/mod.rs
+++ b/crates/guavacourse/src/edge/http/mod.rs
@@ -9,9 +9,11 @@
 mod client;
 mod head;
 mod message;
+mod receive_memory;
 mod server;
 
 pub use client::{Connection, ExchangeError, call};
 pub use head::{MAX_HEAD_BYTES, MessageError};
 pub use message::{ResponseHead, Target};
+pub use receive_memory::ReceiveMemory;
 pub use server::{Limits, Shutdown, json_response, serve};
--- a/crates/guavacourse/src/edge/http/server.rs
+++ b/crates/guavacourse/src/edge/http/server.rs
@@ -177,7 +177,7 @@
         if head.expect && fits {
             stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
         }
-        let end = read_body(stream, buf, head, limits.max_body).await?;
+        let end = read_body(stream, buf, head, limits.max_body, |_| Ok(())).await?;
         let rest = buf.split_off(end);
         let message = std::mem::replace(buf, rest);
         let request = message::request(&message, head)?;
@@ -233,6 +233,7 @@
         MessageError::BodyTooLong(..) => 413,
         MessageError::Chunk | MessageError::Syntax(_) | MessageError::Header(_) => 400,
         MessageError::Version(_) => 505,
+        MessageError::NoMemory(_) => 503,
         MessageError::TransferCoding | MessageError::LengthRequired => 501,
     };
     let message = match error {
--- a/crates/guavacourse/src/edge/relay/exchanges.rs
+++ b/crates/guavacourse/src/edge/relay/exchanges.rs
@@ -22,7 +22,11 @@
 
 use super::protocol::{self, LeafCall, LeafProtocol};
 use crate::{
-    edge::{clock::Clock, http::Connection, tasks::Tasks},
+    edge::{
+        clock::Clock,
+        http::{Connection, ReceiveMemory},
+        tasks::Tasks,
+    },
     modules::{
         admission::{ConnectionState, Ending, Job, JobKey},
         call::Unknown,
@@ -38,6 +42,10 @@
 /// as that of a cancelled call. Until then the call's slot counts as taken.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Memory for the responses that one thread reads at the same time, in bytes. The
+/// smallest machines have ten times as much.
+const RESPONSE_MEMORY: usize = 16 * 1024 * 1024;
+
 /// A command from the dispatcher.
 pub(super) enum Command {
     /// Send a call to its leaf.
@@ -104,6 +112,7 @@
             clock: self.clock,
             reports: self.reports,
             protocol: self.protocol,
+            memory: ReceiveMemory::new(RESPONSE_MEMORY),
             pool: RefCell::default(),
             calls: RefCell::default(),
             tasks: Tasks::default(),
@@ -121,6 +130,7 @@
     clock: Clock,
     reports: Sender<Report>,
     protocol: Arc<dyn LeafProtocol>,
+    memory: ReceiveMemory,
     pool: RefCell<Map<LeafId, Vec<Connection>>>,
     calls: RefCell<SecondaryMap<JobKey, RunningCall>>,
     tasks: Tasks,
@@ -229,8 +239,12 @@
     ) -> Ending {
         if connection.is_none() {
             let opened = connect(call.address).await;
-            *connection =
-                opened.map(|c| c.with_close_delimited(self.protocol.allows_close_delimited()));
+            let close_delimited = self.protocol.allows_close_delimited();
+            *connection = opened.map(|connection| {
+                connection
+                    .with_close_delimited(close_delimited)
+                    .with_memory(self.memory.clone())
+            });
         }
         let Some(connection) = connection.as_mut() else {
             return Ending::Unreachable;
