--- a/crates/guavacourse/tests/directory.rs
+++ b/crates/guavacourse/tests/directory.rs
@@ -5,6 +5,7 @@
 
 use guavacourse::modules::{
     catalog::LeafId,
+    collections::Map,
     directory::{Change, Deployment, Directory, DirectoryEvent, LeafRecord, RegistryReading},
     inventory::{Address, Kind, LeafState},
     keys::KeyRange,
@@ -250,3 +251,19 @@
     assert!(directory.tick(at(3_300)));
     assert_eq!(directory.take_changes(), [Change::LeafGone("a".to_owned())]);
 }
+
+// Guards against a log line for each of the leaves at each start of a process.
+#[test]
+fn a_first_reading_is_reported_by_one_event() {
+    let mut directory = Directory::new("front-1", Map::default());
+    directory.replace(reading(&["a", "b", "c"]), at(1));
+    assert_eq!(
+        directory.take_events(),
+        [DirectoryEvent::Loaded { leaves: 3 }]
+    );
+    directory.replace(reading(&["a", "b", "c", "d"]), at(2));
+    assert!(matches!(
+        directory.take_events().as_slice(),
+        [DirectoryEvent::Registered { leaf, .. }] if leaf == "d"
+    ));
+}
--- a/crates/guavacourse/tests/readers.rs
+++ b/crates/guavacourse/tests/readers.rs
@@ -99,3 +99,13 @@
     assert_eq!(plan("a-new", &fleet).sources[0].name, "a-4");
     assert_eq!(plan("a-4", &fleet).sources, []);
 }
+
+#[test]
+fn only_the_processes_that_others_follow_read_all_at_their_start() {
+    let fleet = fleet(11);
+    let waits = (0..11).map(|number| plan(&format!("a-{number}"), &fleet).start_wait);
+    let waits: Vec<Duration> = waits.collect();
+    assert_eq!(waits.iter().filter(|wait| wait.is_zero()).count(), 3);
+    assert!(waits.iter().all(|wait| *wait < MAX_DELAY / 2), "{waits:?}");
+    assert_eq!(plan("a-new", &[]).start_wait, Duration::ZERO);
+}
