--- a/crates/daemons/tests/poison.rs
+++ b/crates/daemons/tests/poison.rs
@@ -102,6 +102,16 @@
     smol::block_on(caller.post("/query/search", &[], body)).unwrap()
 }
 
+/// Returns the answer to a query, and the entry's trace of it unless it was served.
+fn search_traced(deployment: &Deployment, entry: usize, body: &[u8]) -> (Answer, String) {
+    let mut caller = deployment.caller(entry);
+    let answer = smol::block_on(caller.post("/query/search", &[], body)).unwrap();
+    let id = answer.id.clone().filter(|_| answer.status != 200);
+    let trace = id.map(|id| smol::block_on(caller.get(&format!("/explain/{id}"))));
+    let trace = trace.map(|trace| trace.map_or_else(|e| e.to_string(), |t| t.body.to_string()));
+    (answer, trace.unwrap_or_default())
+}
+
 fn crashes(deployment: &Deployment) -> u64 {
     deployment.leaves.work().crashes
 }
@@ -153,7 +163,7 @@
             .map(|caller| {
                 scope.spawn(move || {
                     let body = format!(r#"{{"roster": {caller}}}"#);
-                    let ask = |_| search(deployment, caller, body.as_bytes());
+                    let ask = |_| search_traced(deployment, caller, body.as_bytes());
                     (0..20).map(ask).collect::<Vec<_>>()
                 })
             })
@@ -161,8 +171,8 @@
         std::thread::sleep(Duration::from_millis(100));
         poison();
         for caller in callers {
-            for answer in caller.join().unwrap() {
-                assert_eq!(answer.status, 200, "{}", answer.body);
+            for (answer, trace) in caller.join().unwrap() {
+                assert_eq!(answer.status, 200, "{}\n{trace}", answer.body);
                 assert_eq!(answer.body["coverage"]["fraction"], 1.0, "{}", answer.body);
             }
         }
