fix(gateway): report ready only if requests can be served or handed over

Found by a_traffic_split_gives_each_service_its_share, once of 10 runs beside 14 busy loops: a GET was answered 503 right after readiness. The first page of the store held the configuration and a leaf of another service; the process took it for a first reading without leaves, was ready, had no peer to hand over to, and read the leaves only afterwards. Now only a weak process that nobody follows is ready before it knows the leaves; all others read the rest first.

Failing first: a_process_without_peers_is_ready_only_once_it_knows_the_leaves (503), only_weak_processes_that_nobody_follows_wait_for_a_source_at_their_start

--- a/crates/guavacourse/src/edge/gateway/follow.rs
+++ b/crates/guavacourse/src/edge/gateway/follow.rs
@@ -161,7 +161,8 @@
 
     /// Reads the configuration and the fleet. If that leaves out leaves, they come from
     /// a source: in a large fleet, the whole registry is too much for each process to
-    /// read when all start together.
+    /// read when all start together. Until then the process hands its requests over; one
+    /// that cannot is not ready before it has read the rest.
     async fn read_first(&self, state: &mut ReadState) {
         match self.registry.read_first().await {
             Ok(FirstReading {
@@ -172,8 +173,12 @@
                 self.apply_reading(reading, true, self.setup.clock.now());
             }
             Ok(FirstReading { reading, .. }) => {
-                self.fleet_known.set(Some(self.setup.clock.now()));
-                self.apply_changes(reading.without_leaves().changes);
+                let members = reading.changes.iter().filter_map(Change::member);
+                let plan = self.readers.plan(members);
+                if !plan.start_wait.is_zero() {
+                    self.fleet_known.set(Some(self.setup.clock.now()));
+                    self.apply_changes(reading.without_leaves().changes);
+                }
             }
             Err(error) => self.record_failure(state, &error).await,
         }
--- a/crates/guavacourse/src/modules/directory/records.rs
+++ b/crates/guavacourse/src/modules/directory/records.rs
@@ -67,6 +67,17 @@
     },
 }
 
+impl Change {
+    /// Returns the process that registered, if this is its entry.
+    #[must_use]
+    pub fn member(&self) -> Option<&Member> {
+        match self {
+            Self::Member(member) => Some(member),
+            _ => None,
+        }
+    }
+}
+
 /// What a call to the registry returned.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct RegistryReading {
--- a/crates/guavacourse/src/modules/readers.rs
+++ b/crates/guavacourse/src/modules/readers.rs
@@ -59,7 +59,8 @@
     /// Age of its own state from which the process reads the registry itself.
     pub fallback_age: Duration,
     /// Time after its start from which a process that no source has served reads the
-    /// registry itself. Zero for those that others may follow.
+    /// registry itself. Zero for those that others may follow, and for those that
+    /// cannot hand requests over until they know the leaves.
     pub start_wait: Duration,
     /// Longest wait of a watch of the registry.
     pub watch_timeout: Duration,
@@ -120,7 +121,8 @@
             MAX_WATCH_TIMEOUT
         };
         let max_age = watch_timeout + SOURCE_LAG_TOLERANCE;
-        let start_wait = if shared && rank >= MAX_SOURCES {
+        let hands_over = !strong.contains(&self.own.as_str());
+        let start_wait = if shared && hands_over && rank >= MAX_SOURCES {
             START_WAIT + FALLBACK_DELAY * steps
         } else {
             Duration::ZERO
--- a/crates/guavacourse/tests/readers.rs
+++ b/crates/guavacourse/tests/readers.rs
@@ -100,11 +100,21 @@
     assert_eq!(plan("a-4", &fleet).sources, []);
 }
 
+// Guards against a process that is ready while it neither knows a leaf nor can hand a
+// request over.
 #[test]
-fn only_the_processes_that_others_follow_read_all_at_their_start() {
-    let fleet = fleet(11);
-    let waits = (0..11).map(|number| plan(&format!("a-{number}"), &fleet).start_wait);
-    let waits: Vec<Duration> = waits.collect();
+fn only_weak_processes_that_nobody_follows_wait_for_a_source_at_their_start() {
+    let waits = |fleet: &[Member]| {
+        let waits = (0..11).map(|number| plan(&format!("a-{number}"), fleet).start_wait);
+        waits.collect::<Vec<Duration>>()
+    };
+    let mut fleet = fleet(11);
+    assert_eq!(waits(&fleet), vec![Duration::ZERO; 11]);
+    for member in &mut fleet {
+        member.power = if member.name == "a-4" { 500 } else { 120 };
+    }
+    let waits = waits(&fleet);
+    assert_eq!(waits[4], Duration::ZERO);
     assert_eq!(waits.iter().filter(|wait| wait.is_zero()).count(), 3);
     assert!(waits.iter().all(|wait| *wait < MAX_DELAY / 2), "{waits:?}");
     assert_eq!(plan("a-new", &[]).start_wait, Duration::ZERO);
