fix(gateway): share crashes of leaves over the fleet

What callers saw: a request that crashes each leaf that runs it was sent on by one process after the other, so repeats piled up beyond the budget of retries and leaves ended that served everyone.

Cause: a decision about the whole fleet was made from one process's own calls. The gateway gave its relay a callback that wrote a log line; no other process learned of a verdict, and a route with one attempt gave no process a second crash to judge by.

Content that turns out harmless is withdrawn.

--- a/crates/guavacourse/src/edge/gateway/follow.rs
+++ b/crates/guavacourse/src/edge/gateway/follow.rs
@@ -3,6 +3,7 @@
 
 mod events;
 mod feed;
+pub(super) mod findings;
 mod pause;
 mod sources;
 
@@ -15,7 +16,7 @@
 
 use futures::channel::oneshot;
 use futures_lite::FutureExt;
-use smol::{LocalExecutor, Timer};
+use smol::{LocalExecutor, Timer, channel::Receiver};
 
 use self::{
     feed::FeedServer,
@@ -31,6 +32,7 @@
         worker::StopSignal,
     },
     modules::{
+        crash_evidence::Finding,
         directory::{Change, Directory, FirstReading, RegistryReading},
         inventory::Address,
         journal::Journal,
@@ -61,6 +63,8 @@
     pub(super) view: Published<View>,
     /// Socket to which peers that follow this process connect.
     pub(super) listener: TcpListener,
+    /// What the traffic thread finds out about request content.
+    pub(super) findings: Receiver<Finding>,
 }
 
 /// Runs the control thread until `stop`, then ends the registration.
@@ -84,7 +88,8 @@
         let following = follower.follow();
         let registering = follower.keep_registered();
         let expiring = follower.remove_expired();
-        futures::future::join3(following, registering, expiring).await;
+        let reporting = follower.report_findings();
+        futures::future::join4(following, registering, expiring, reporting).await;
     };
     work.or(stop.wait()).await;
     peers.cancel().await;
@@ -286,7 +291,7 @@
     }
 
     /// Periodically removes leaves that have not registered again after an outage,
-    /// and processes whose entry has been gone for a while.
+    /// processes whose entry has been gone for a while, and old quarantines.
     async fn remove_expired(&self) {
         loop {
             let due = self.directory.borrow().next_tick();
@@ -335,6 +340,8 @@
             entries: directory.members().cloned().collect(),
             relays: vec![own],
             incarnations: directory.incarnations(),
+            quarantined: directory.crashes().quarantined(),
+            suspected: directory.crashes().suspected(),
             shares: directory.shares(),
             ..View::default()
         });
--- a/crates/guavacourse/src/edge/gateway/follow/events.rs
+++ b/crates/guavacourse/src/edge/gateway/follow/events.rs
@@ -21,6 +21,11 @@
             tracing::debug!(leaf, "an old entry of a leaf is ignored");
         }
         DirectoryEvent::Gone { leaf } => tracing::info!(leaf, "a leaf was removed"),
+        DirectoryEvent::Quarantined { content, leaves } => tracing::warn!(
+            content,
+            ?leaves,
+            "request content crashes leaves and is quarantined"
+        ),
         DirectoryEvent::Unreadable { key, fault } => tracing::warn!(
             key,
             fault,
--- a/crates/guavacourse/src/edge/gateway/mod.rs
+++ b/crates/guavacourse/src/edge/gateway/mod.rs
@@ -126,6 +126,7 @@
         metrics.observe_counter("log_lines_dropped", move || {
             u64::try_from(dropped.dropped_lines()).unwrap_or(u64::MAX)
         });
+        let (findings, received) = follow::findings::channel();
         let setup = serve::Setup {
             listeners: listen::Listeners::bind(&config)?,
             config: config.clone(),
@@ -136,12 +137,14 @@
             stopping: stopping.clone(),
             entry_metrics: EntryMetrics::new(&metrics.meter()),
             metrics,
+            findings,
         };
         let follower = follow::Setup {
             config: config.clone(),
             clock,
             view,
             listener: listen::bind(config.feed)?,
+            findings: received,
         };
         let control = Worker::spawn("control", |executor, stop| {
             follow::run(follower, registry, executor, stop)
--- a/crates/guavacourse/src/edge/gateway/registry.rs
+++ b/crates/guavacourse/src/edge/gateway/registry.rs
@@ -4,7 +4,10 @@
 
 use thiserror::Error;
 
-use crate::modules::directory::{FirstReading, RegistryReading};
+use crate::modules::{
+    crash_evidence::CrashReport,
+    directory::{FirstReading, RegistryReading},
+};
 
 /// Why a call to the registry failed.
 #[derive(Debug, Error)]
@@ -33,6 +36,19 @@
         wait: Duration,
     ) -> impl Future<Output = Result<RegistryReading, RegistryError>>;
 
+    /// Writes reports of leaves that crashed.
+    fn report_crashes(
+        &self,
+        reports: &[CrashReport],
+    ) -> impl Future<Output = Result<(), RegistryError>>;
+
+    /// Removes the reports of crashes under a content.
+    fn retract_crashes(
+        &self,
+        content: u64,
+        leaves: &[String],
+    ) -> impl Future<Output = Result<(), RegistryError>>;
+
     /// Registers this process, or renews its registration. `removed` says that the
     /// registration was seen to be removed, so that it is created again.
     fn register(&self, removed: bool) -> impl Future<Output = Result<(), RegistryError>>;
--- a/crates/guavacourse/src/edge/gateway/serve.rs
+++ b/crates/guavacourse/src/edge/gateway/serve.rs
@@ -12,12 +12,13 @@
 use http_types::{Request, Response};
 use smol::{
     LocalExecutor,
+    channel::Sender,
     net::{TcpListener, TcpStream},
 };
 
 use super::{
-    CallerProtocol, GatewayConfig, call_router::CallRouter, listen::Listeners, peers::Peers,
-    queries::QueryServer, requests, stopping::Stopping,
+    CallerProtocol, GatewayConfig, call_router::CallRouter, follow::findings::pass_on,
+    listen::Listeners, peers::Peers, queries::QueryServer, requests, stopping::Stopping,
 };
 use crate::{
     edge::{
@@ -31,8 +32,8 @@
         worker::StopSignal,
     },
     modules::{
-        delegation, inventory::Address, line_budget::LineBudget, load_balancer::LoadBalancer,
-        view::View, wait_estimator::WaitEstimator,
+        crash_evidence::Finding, delegation, inventory::Address, line_budget::LineBudget,
+        load_balancer::LoadBalancer, view::View, wait_estimator::WaitEstimator,
     },
 };
 
@@ -59,6 +60,8 @@
     pub(super) stopping: Stopping,
     pub(super) entry_metrics: EntryMetrics,
     pub(super) metrics: Metrics,
+    /// To the control thread.
+    pub(super) findings: Sender<Finding>,
 }
 
 /// State that the requests of the thread share.
@@ -85,9 +88,23 @@
 impl Setup {
     /// Serves until `stop`.
     pub(super) async fn run(self, executor: Rc<LocalExecutor<'static>>, stop: StopSignal) {
-        let warn =
-            |content| tracing::warn!(content, "request content crashes leaves and is quarantined");
-        let relay = LocalRelay::start(&executor, self.clock, self.view.clone(), self.leaves, warn);
+        let findings = self.findings;
+        let report = move |finding| match finding {
+            Finding::Quarantined(content) => {
+                tracing::warn!(
+                    content,
+                    "request content crashed a leaf that ran nothing else"
+                );
+            }
+            finding => pass_on(&findings, finding),
+        };
+        let relay = LocalRelay::start(
+            &executor,
+            self.clock,
+            self.view.clone(),
+            self.leaves,
+            report,
+        );
         let Some(relay) = relay else {
             return;
         };
--- a/crates/guavacourse/src/edge/relay/dispatcher.rs
+++ b/crates/guavacourse/src/edge/relay/dispatcher.rs
@@ -25,6 +25,7 @@
         call::{AttemptId, Part, Reply},
         catalog::LeafId,
         collections::Map,
+        crash_evidence::Finding,
         thread_assignment::ThreadAssignment,
         time::Time,
         view::View,
@@ -43,7 +44,7 @@
     executor: Rc<LocalExecutor<'static>>,
     clock: Clock,
     view: Published<View>,
-    on_quarantine: Box<dyn Fn(u64)>,
+    on_finding: Box<dyn Fn(Finding)>,
     admission: RefCell<Admission>,
     /// Command channels, one to each exchange thread.
     commands: Vec<Sender<Command>>,
@@ -64,7 +65,7 @@
         executor: Rc<LocalExecutor<'static>>,
         clock: Clock,
         view: Published<View>,
-        on_quarantine: Box<dyn Fn(u64)>,
+        on_finding: Box<dyn Fn(Finding)>,
         commands: Vec<Sender<Command>>,
     ) -> Rc<Self> {
         let leaf_threads = ThreadAssignment::new(commands.len());
@@ -72,7 +73,7 @@
             executor,
             clock,
             view,
-            on_quarantine,
+            on_finding,
             admission: RefCell::default(),
             commands,
             leaf_threads: leaf_threads.into(),
@@ -230,6 +231,7 @@
             Step::Probe(leaf) => self.probe(leaf),
             Step::Deliver(session, reply) => self.deliver(session, reply),
             Step::Quarantine { content, then } => self.announce_quarantine(content, then),
+            Step::Report(finding) => (self.on_finding)(finding),
         }
     }
 
@@ -262,7 +264,7 @@
     /// Announces a content that crashes leaves to every entry. Delivers the reply of
     /// the call that proved it only once they have acknowledged or timed out.
     fn announce_quarantine(self: &Rc<Self>, content: u64, then: Option<(SessionId, Reply)>) {
-        (self.on_quarantine)(content);
+        (self.on_finding)(Finding::Quarantined(content));
         let acks: Vec<_> = {
             let outboxes = self.outboxes.borrow();
             outboxes.values().map(|o| o.quarantine(content)).collect()
--- a/crates/guavacourse/src/edge/relay/local.rs
+++ b/crates/guavacourse/src/edge/relay/local.rs
@@ -16,6 +16,7 @@
         admission::SessionId,
         call::{AttemptId, Part, Reply},
         collections::Map,
+        crash_evidence::Finding,
         inventory::Address,
         view::View,
     },
@@ -38,14 +39,13 @@
 
 impl LocalRelay {
     /// Starts the relay on the thread of `executor`; none if no session can be
-    /// opened. Calls `on_quarantine` with the fingerprint of each content that
-    /// crashes backend servers.
+    /// opened. Calls `on_finding` with what is found out about request content.
     pub(crate) fn start(
         executor: &Rc<LocalExecutor<'static>>,
         clock: Clock,
         view: Published<View>,
         protocol: Arc<dyn LeafProtocol>,
-        on_quarantine: impl Fn(u64) + 'static,
+        on_finding: impl Fn(Finding) + 'static,
     ) -> Option<Self> {
         let (commands, receiver) = unbounded();
         let (reporter, reports) = unbounded();
@@ -59,7 +59,7 @@
             Rc::clone(executor),
             clock,
             view,
-            Box::new(on_quarantine),
+            Box::new(on_finding),
             vec![commands],
         );
         let waiters = Rc::<Waiters>::default();
--- a/crates/guavacourse/src/edge/relay/mod.rs
+++ b/crates/guavacourse/src/edge/relay/mod.rs
@@ -42,7 +42,7 @@
 };
 use crate::{
     configs::settings::Settings,
-    modules::{members::Role, view::View},
+    modules::{crash_evidence::Finding, members::Role, view::View},
 };
 
 /// Longest time for which a leaving relay waits for its calls to end.
@@ -226,11 +226,17 @@
         executor: Rc<LocalExecutor<'static>>,
         stop: StopSignal,
     ) {
+        let on_quarantine = self.on_quarantine;
         let dispatcher = Dispatcher::new(
             Rc::clone(&executor),
             self.clock,
             self.view,
-            self.on_quarantine,
+            Box::new(move |finding| {
+                // Only forwarded requests have other findings; this relay has none.
+                if let Finding::Quarantined(content) = finding {
+                    on_quarantine(content);
+                }
+            }),
             channels.commands,
         );
         let relay = RelayCapability {
--- a/crates/guavacourse/src/modules/admission.rs
+++ b/crates/guavacourse/src/modules/admission.rs
@@ -6,6 +6,7 @@
 //! deadline is refused before it takes a slot.
 
 mod canary;
+mod findings;
 mod gate;
 mod job;
 mod outcome;
@@ -16,6 +17,7 @@
 use slotmap::SlotMap;
 
 use self::{
+    findings::Findings,
     gate::Gate,
     job::{KindId, Phase},
 };
@@ -52,6 +54,7 @@
     /// Leaves with calls in their trial queue.
     trial_leaves: Set<LeafId>,
     quarantine: Quarantine,
+    findings: Findings,
     /// Contents of canary calls and of forwarded calls that a leaf has recently run to
     /// completion.
     cleared: ClearedContents,
@@ -70,6 +73,7 @@
         let added = view.quarantined.difference(&self.view.quarantined);
         let added: Vec<u64> = added.copied().collect();
         self.view = view;
+        self.findings.retain_suspected(&self.view.suspected);
         for content in added {
             self.refuse_content(content);
         }
@@ -149,6 +153,7 @@
             self.deadlines.pop_first();
             self.steps.push(Step::Expire(key));
         }
+        self.send_reports(now);
         while let Some((due, leaf)) = self.hold_expiries.first().copied() {
             if due > now {
                 return;
@@ -164,7 +169,9 @@
         let refusal = self.latest_starts.first().map(|(latest, _)| *latest);
         let hold = self.hold_expiries.first().map(|(due, _)| *due);
         let deadline = self.deadlines.first().map(|(deadline, _)| *deadline);
-        refusal.into_iter().chain(hold).chain(deadline).min()
+        let report = self.findings.next_due();
+        let due = [refusal, hold, deadline, report];
+        due.into_iter().flatten().min()
     }
 
     /// Returns the steps that the edge must carry out, in order.
--- /dev/null
+++ b/crates/guavacourse/src/modules/admission/findings.rs
@@ -0,0 +1,80 @@
+//! Reports crashes of leaves, and content that proved harmless, to the fleet.
+
+use std::collections::VecDeque;
+
+use super::{Admission, gate::DroppedCall, job::Step};
+use crate::modules::{
+    catalog::LeafId,
+    collections::Set,
+    crash_evidence::{CrashReport, Finding, REPORT_DELAY},
+    time::Time,
+};
+
+/// Maximum number of reports that wait; further ones are not made.
+const MAX_WAITING: usize = 1_024;
+
+/// What the relay has found out and not reported yet.
+#[derive(Debug, Default)]
+pub(super) struct Findings {
+    /// Reports, and when each is due, in this order.
+    waiting: VecDeque<(Time, CrashReport)>,
+    /// Contents that were reported as harmless and are still suspected.
+    completed: Set<u64>,
+}
+
+impl Findings {
+    /// Returns when the next report is due.
+    pub(super) fn next_due(&self) -> Option<Time> {
+        self.waiting.front().map(|(due, _)| *due)
+    }
+
+    /// Forgets reports of contents that the fleet no longer suspects.
+    pub(super) fn retain_suspected(&mut self, suspected: &Set<u64>) {
+        self.completed.retain(|content| suspected.contains(content));
+    }
+}
+
+impl Admission {
+    /// Reports the crash of a leaf with these calls in flight: at once those that ran
+    /// alone, the others after a delay, unless another leaf runs them meanwhile.
+    pub(super) fn report_crash(&mut self, leaf: LeafId, calls: &[DroppedCall], now: Time) {
+        let Some(gate) = self.gates.get(&leaf) else {
+            return;
+        };
+        let listed = self.view.incarnations.get(&leaf);
+        for dropped in calls.iter().filter(|call| call.forwarded && call.suspect) {
+            let report = CrashReport {
+                content: dropped.call.fingerprint,
+                leaf: gate.name.clone(),
+                born: listed.copied().unwrap_or_default(),
+                alone: dropped.call.alone,
+            };
+            if report.alone {
+                self.steps.push(Step::Report(Finding::Crashed(report)));
+            } else if self.findings.waiting.len() < MAX_WAITING {
+                let due = now.after(REPORT_DELAY);
+                self.findings.waiting.push_back((due, report));
+            }
+        }
+    }
+
+    /// Withdraws what was found against content that a leaf has run to completion.
+    pub(super) fn report_completion(&mut self, content: u64) {
+        self.findings
+            .waiting
+            .retain(|(_, report)| report.content != content);
+        let suspected = self.view.suspected.contains(&content);
+        if suspected && self.findings.completed.insert(content) {
+            self.steps.push(Step::Report(Finding::Completed(content)));
+        }
+    }
+
+    /// Makes the reports that are due.
+    pub(super) fn send_reports(&mut self, now: Time) {
+        while self.findings.next_due().is_some_and(|due| due <= now) {
+            if let Some((_, report)) = self.findings.waiting.pop_front() {
+                self.steps.push(Step::Report(Finding::Crashed(report)));
+            }
+        }
+    }
+}
--- a/crates/guavacourse/src/modules/admission/gate.rs
+++ b/crates/guavacourse/src/modules/admission/gate.rs
@@ -33,6 +33,8 @@
     pub(super) call: InFlightCall,
     /// Whether its content may have crashed the leaf; false if a leaf has run it.
     pub(super) suspect: bool,
+    /// Whether it belongs to a forwarded request.
+    pub(super) forwarded: bool,
     pub(super) at: Time,
     /// Its reply, held back until it is known whether the leaf is alive.
     pub(super) reply: Option<(SessionId, Reply)>,
--- a/crates/guavacourse/src/modules/admission/job.rs
+++ b/crates/guavacourse/src/modules/admission/job.rs
@@ -7,6 +7,7 @@
 use crate::modules::{
     call::{Call, NotRun, Outcome, Part, Reply, Unknown},
     catalog::LeafId,
+    crash_evidence::Finding,
     time::{Time, micros},
 };
 
@@ -131,6 +132,8 @@
         /// The reply of the call that proved it.
         then: Option<(SessionId, Reply)>,
     },
+    /// Report to the fleet what was found out about content.
+    Report(Finding),
 }
 
 /// How an exchange with a leaf ended.
--- a/crates/guavacourse/src/modules/admission/outcome.rs
+++ b/crates/guavacourse/src/modules/admission/outcome.rs
@@ -286,6 +286,7 @@
         let forwarded = job.part.forward.is_some();
         gate.dropped_calls.push(DroppedCall {
             call,
+            forwarded,
             suspect: !forwarded || !self.cleared.contains(call.fingerprint, now),
             at: now,
             reply: None,
@@ -317,6 +318,7 @@
         let suspects = dropped_calls.iter().filter(|dropped| dropped.suspect);
         let in_flight: Vec<InFlightCall> = suspects.map(|dropped| dropped.call).collect();
         self.counts.crashed += 1;
+        self.report_crash(leaf, &dropped_calls, now);
         let quarantined = self.quarantine.record_crash(&in_flight, now);
         for dropped in dropped_calls {
             let content = dropped.call.fingerprint;
@@ -353,6 +355,7 @@
         let content = job.part.fingerprint;
         self.cleared.add(content, now);
         self.quarantine.clear(content);
+        self.report_completion(content);
         if !job.alone {
             self.release_held(content, now);
         }
--- a/crates/guavacourse/src/modules/directory.rs
+++ b/crates/guavacourse/src/modules/directory.rs
@@ -18,6 +18,7 @@
 use super::{
     catalog::{Catalog, LeafId},
     collections::{Map, Set},
+    crash_evidence::{CrashEvidence, CrashReport},
     delegation::MIN_SHARDS,
     inventory::{Config, DataCentre, Format, Leaf, LeafState, Service},
     keys::KEY_SPACE,
@@ -51,6 +52,7 @@
     /// Incarnation and sequence number of the last entry of each removed leaf.
     removed: Map<String, (u64, u64)>,
     fleet: Fleet,
+    crashes: CrashEvidence,
     /// When the registry last could not be read.
     outage: Option<Time>,
     /// Faults of the entries that cannot be read, by key.
@@ -92,6 +94,8 @@
             Change::LeafGone(name) => self.leaf_missing(&name, now),
             Change::Member(member) => self.register_member(member),
             Change::MemberGone(name) => self.member_missing(name, now),
+            Change::Crashed(report) => self.record_crash(report, now),
+            Change::CrashGone { content, leaf } => self.forget_crash(content, leaf),
             Change::Unreadable { key, fault } => {
                 self.record_unreadable(key, fault);
                 false
@@ -99,17 +103,21 @@
         }
     }
 
-    /// Applies a reading of the whole registry: leaves and members that it does
-    /// not contain count as missing. Returns whether the directory is different now.
+    /// Applies a reading of the whole registry: leaves, members and reports of crashes
+    /// that it does not contain count as missing. Returns whether the directory is different now.
     pub fn replace(&mut self, reading: RegistryReading, now: Time) -> bool {
         let first = self.leaves.is_empty();
         let mut leaves = Set::default();
         let mut members = Set::default();
+        let mut crashes = Set::default();
         let mut changed = false;
         for change in reading.changes {
             match &change {
                 Change::Leaf(record) => drop(leaves.insert(record.name.clone())),
                 Change::Member(member) => drop(members.insert(member.name.clone())),
+                Change::Crashed(report) => {
+                    crashes.insert((report.content, report.leaf.clone()));
+                }
                 _ => {}
             }
             changed |= self.apply(change, now);
@@ -122,6 +130,12 @@
         for name in self.fleet.missing(&members) {
             changed |= self.member_missing(name, now);
         }
+        let known = self.crashes.reports();
+        let known = known.map(|report| (report.content, report.leaf.clone()));
+        let missing: Vec<_> = known.filter(|known| !crashes.contains(known)).collect();
+        for (content, leaf) in missing {
+            changed |= self.forget_crash(content, leaf);
+        }
         if first {
             self.summarize_registrations();
         }
@@ -140,18 +154,18 @@
         }
     }
 
-    /// Removes leaves that have not registered again after an outage, and
-    /// processes whose entry has been gone for a while. Returns whether there
-    /// were any.
+    /// Removes leaves that have not registered again after an outage, processes whose
+    /// entry has been gone for a while, and quarantines that have lasted long enough.
+    /// Returns whether there were any.
     pub fn tick(&mut self, now: Time) -> bool {
-        let members_removed = self.fleet.expire(now);
+        let others_removed = self.fleet.expire(now) | self.crashes.expire(now);
         let expired = |held: &KnownLeaf| held.expires.is_some_and(|expires| now >= expires);
         let expired = self.leaves.iter().filter(|(_, held)| expired(held));
         let expired: Vec<String> = expired.map(|(name, _)| name.clone()).collect();
         for name in &expired {
             self.remove_leaf(name);
         }
-        !expired.is_empty() || members_removed
+        !expired.is_empty() || others_removed
     }
 
     /// Returns the events since the last call, for the log.
@@ -171,10 +185,12 @@
         let leaves = self.leaves.values().map(|held| held.record.clone());
         let live = |member: &&Member| member.state == MemberState::Live;
         let members = self.fleet.members().filter(live).cloned();
+        let crashes = self.crashes.reports().cloned();
         deployment
             .map(Change::Deployed)
             .chain(leaves.map(Change::Leaf))
             .chain(members.map(Change::Member))
+            .chain(crashes.map(Change::Crashed))
             .collect()
     }
 
@@ -182,7 +198,8 @@
     #[must_use]
     pub fn next_tick(&self) -> Option<Time> {
         let leaves = self.leaves.values().filter_map(|held| held.expires);
-        leaves.chain(self.fleet.next_expiry()).min()
+        let crashes = self.crashes.next_expiry();
+        leaves.chain(self.fleet.next_expiry()).chain(crashes).min()
     }
 
     /// Returns the version in force; 0 if there is none.
@@ -210,6 +227,12 @@
         Shares::new(&self.own, self.members(), services.cloned().collect())
     }
 
+    /// Returns what the fleet knows about content that crashes leaves.
+    #[must_use]
+    pub fn crashes(&self) -> &CrashEvidence {
+        &self.crashes
+    }
+
     /// Returns the incarnation of each leaf.
     #[must_use]
     pub fn incarnations(&self) -> Map<LeafId, u64> {
@@ -356,6 +379,31 @@
         new
     }
 
+    /// Records a crash of a leaf. Returns whether it is new.
+    fn record_crash(&mut self, report: CrashReport, now: Time) -> bool {
+        let content = report.content;
+        let known = self.crashes.is_quarantined(content);
+        if !self.crashes.add(report.clone(), now) {
+            return false;
+        }
+        self.changes.push(Change::Crashed(report));
+        if !known && self.crashes.is_quarantined(content) {
+            let leaves = self.crashes.leaves(content);
+            self.events
+                .push(DirectoryEvent::Quarantined { content, leaves });
+        }
+        true
+    }
+
+    /// Forgets a crash of a leaf. Returns whether it was known.
+    fn forget_crash(&mut self, content: u64, leaf: String) -> bool {
+        let known = self.crashes.remove(content, &leaf);
+        if known {
+            self.changes.push(Change::CrashGone { content, leaf });
+        }
+        known
+    }
+
     fn remove_leaf(&mut self, name: &str) {
         if let Some(held) = self.leaves.remove(name) {
             let leaf = name.to_owned();
--- a/crates/guavacourse/src/modules/directory/records.rs
+++ b/crates/guavacourse/src/modules/directory/records.rs
@@ -4,6 +4,7 @@
 
 use crate::modules::{
     collections::Map,
+    crash_evidence::CrashReport,
     inventory::{Address, CallerLimits, Kind},
     members::{Member, MemberState},
 };
@@ -58,6 +59,15 @@
     Member(Member),
     /// A process of the fleet is gone.
     MemberGone(String),
+    /// A process reported a crash of a leaf.
+    Crashed(CrashReport),
+    /// The report of a crash is gone.
+    CrashGone {
+        /// Fingerprint of the request's content.
+        content: u64,
+        /// Name of the leaf.
+        leaf: String,
+    },
     /// An entry cannot be read.
     Unreadable {
         /// Its key.
@@ -145,6 +155,13 @@
         /// Its name.
         leaf: String,
     },
+    /// Request content is quarantined, because leaves crash under it.
+    Quarantined {
+        /// Its fingerprint.
+        content: u64,
+        /// The leaves.
+        leaves: Vec<String>,
+    },
     /// An entry cannot be read; reported again only if its fault changes.
     Unreadable {
         /// Its key.
--- a/crates/guavacourse/src/modules/mod.rs
+++ b/crates/guavacourse/src/modules/mod.rs
@@ -18,6 +18,7 @@
 pub mod commit;
 pub mod concurrency;
 pub mod coverage;
+pub mod crash_evidence;
 pub mod delegation;
 pub mod delta;
 pub mod directory;
--- a/crates/guavacourse/src/modules/view.rs
+++ b/crates/guavacourse/src/modules/view.rs
@@ -28,6 +28,8 @@
     pub incarnations: Map<LeafId, u64>,
     /// Fingerprints of request contents that have crashed backend servers.
     pub quarantined: Set<u64>,
+    /// Fingerprints of request contents under which leaves have crashed, without proof.
+    pub suspected: Set<u64>,
     /// Shares of the fleet's extra calls that this process may use.
     pub shares: Shares,
     /// Number of lower or conflicting revisions that were offered and refused.
--- a/crates/guavacourse/tests/admission/harness.rs
+++ b/crates/guavacourse/tests/admission/harness.rs
@@ -211,6 +211,7 @@
             Step::CloseKept(leaf, count) => format!("close {count} kept to {}", leaf_name(*leaf)),
             Step::Probe(leaf) => format!("probe {}", leaf_name(*leaf)),
             Step::Deliver(_, reply) => describe_reply(reply),
+            Step::Report(finding) => format!("report {finding:?}"),
             Step::Quarantine { content, then } => {
                 let then = then.as_ref().map(|(_, reply)| describe_reply(reply));
                 let then = then.unwrap_or_else(|| "nothing".to_owned());
--- /dev/null
+++ b/crates/guavacourse/tests/crash_evidence.rs
@@ -0,0 +1,98 @@
+//! What the reports of several processes prove about request content.
+
+use std::time::Duration;
+
+use guavacourse::modules::{
+    crash_evidence::{CrashEvidence, CrashReport},
+    quarantine::QUARANTINE_DURATION,
+    time::Time,
+};
+
+const CONTENT: u64 = 666;
+
+fn at(millis: u64) -> Time {
+    Time::default().after(Duration::from_millis(millis))
+}
+
+fn report(content: u64, leaf: &str) -> CrashReport {
+    CrashReport {
+        content,
+        leaf: leaf.to_owned(),
+        born: 1,
+        alone: false,
+    }
+}
+
+#[test]
+fn three_crashed_leaves_quarantine_content() {
+    let mut evidence = CrashEvidence::default();
+    for leaf in ["a", "b"] {
+        assert!(evidence.add(report(CONTENT, leaf), at(1)));
+    }
+    assert!(!evidence.is_quarantined(CONTENT));
+    assert!(evidence.suspected().contains(&CONTENT));
+    assert!(evidence.add(report(CONTENT, "c"), at(2)));
+    assert!(evidence.is_quarantined(CONTENT));
+    assert!(evidence.suspected().is_empty());
+    assert_eq!(evidence.leaves(CONTENT), ["a", "b", "c"]);
+}
+
+#[test]
+fn two_processes_that_lose_the_same_leaf_count_once() {
+    let mut evidence = CrashEvidence::default();
+    assert!(evidence.add(report(CONTENT, "a"), at(1)));
+    assert!(!evidence.add(report(CONTENT, "a"), at(2)));
+    evidence.add(report(CONTENT, "b"), at(3));
+    assert!(!evidence.is_quarantined(CONTENT));
+}
+
+#[test]
+fn a_leaf_that_ran_nothing_else_quarantines_content() {
+    let mut evidence = CrashEvidence::default();
+    evidence.add(
+        CrashReport {
+            alone: true,
+            ..report(CONTENT, "a")
+        },
+        at(1),
+    );
+    assert!(evidence.is_quarantined(CONTENT));
+}
+
+#[test]
+fn a_removed_report_no_longer_counts() {
+    let mut evidence = CrashEvidence::default();
+    evidence.add(report(CONTENT, "a"), at(1));
+    evidence.add(report(CONTENT, "b"), at(1));
+    assert!(evidence.remove(CONTENT, "a"));
+    evidence.add(report(CONTENT, "c"), at(1));
+    assert!(!evidence.is_quarantined(CONTENT));
+}
+
+// The entries of the reports end with their lease, or while the registry is away.
+#[test]
+fn a_quarantine_outlasts_the_entries_of_its_reports() {
+    let mut evidence = CrashEvidence::default();
+    for leaf in ["a", "b", "c"] {
+        evidence.add(report(CONTENT, leaf), at(1));
+    }
+    for leaf in ["a", "b", "c"] {
+        assert!(!evidence.remove(CONTENT, leaf));
+    }
+    let end = at(1).after(QUARANTINE_DURATION);
+    assert!(!evidence.expire(end.before(Duration::from_millis(1))));
+    assert!(evidence.is_quarantined(CONTENT));
+    assert_eq!(evidence.next_expiry(), Some(end));
+    assert!(evidence.expire(end));
+    assert!(evidence.quarantined().is_empty());
+}
+
+#[test]
+fn the_number_of_contents_is_bounded() {
+    let mut evidence = CrashEvidence::default();
+    for content in 0..5_000 {
+        evidence.add(report(content, "a"), at(content));
+    }
+    assert_eq!(evidence.suspected().len(), 1_024);
+    assert!(evidence.suspected().contains(&4_999));
+}
--- a/crates/guavacourse/tests/directory.rs
+++ b/crates/guavacourse/tests/directory.rs
@@ -6,6 +6,7 @@
 use guavacourse::modules::{
     catalog::LeafId,
     collections::Map,
+    crash_evidence::CrashReport,
     directory::{Change, Deployment, Directory, DirectoryEvent, LeafRecord, RegistryReading},
     inventory::{Address, Kind, LeafState},
     keys::KeyRange,
@@ -267,3 +268,46 @@
         [DirectoryEvent::Registered { leaf, .. }] if leaf == "d"
     ));
 }
+
+fn crashed(content: u64, leaf: &str) -> Change {
+    Change::Crashed(CrashReport {
+        content,
+        leaf: leaf.to_owned(),
+        born: 1,
+        alone: false,
+    })
+}
+
+#[test]
+fn crashes_that_several_processes_report_quarantine_content() {
+    let mut directory = Directory::new("front-1", Map::default());
+    for leaf in ["a", "b", "c"] {
+        assert!(directory.apply(crashed(7, leaf), at(1)));
+        assert!(!directory.apply(crashed(7, leaf), at(1)));
+    }
+    assert_eq!(
+        directory.take_events(),
+        [DirectoryEvent::Quarantined {
+            content: 7,
+            leaves: ["a", "b", "c"].map(str::to_owned).to_vec()
+        }]
+    );
+    assert!(directory.crashes().is_quarantined(7));
+    let mut follower = Directory::new("front-2", Map::default());
+    for change in directory.full_state() {
+        follower.apply(change, at(2));
+    }
+    assert!(follower.crashes().is_quarantined(7));
+}
+
+#[test]
+fn a_report_that_a_reading_no_longer_holds_is_forgotten() {
+    let mut directory = Directory::new("front-1", Map::default());
+    directory.apply(crashed(7, "a"), at(1));
+    directory.apply(crashed(8, "a"), at(1));
+    let mut kept = reading(&[]);
+    kept.changes.push(crashed(8, "a"));
+    assert!(directory.replace(kept, at(2)));
+    assert_eq!(directory.crashes().leaves(7), Vec::<String>::new());
+    assert_eq!(directory.crashes().leaves(8), ["a"]);
+}
