fix(admission): report crashes under content that leaves ran before

What callers saw: content that leaves had answered and that crashes them later was sent on for ten minutes, leaf after leaf, and no process logged a verdict.

Cause: one observation that content is harmless outweighed all later evidence.

Change: a crash is reported to the fleet whatever was seen before it. A process alone still does not suspect such content, so that two lost leaves do not refuse what callers repeat.

--- a/crates/guavacourse/src/modules/admission/findings.rs
+++ b/crates/guavacourse/src/modules/admission/findings.rs
@@ -42,7 +42,7 @@
             return;
         };
         let listed = self.view.incarnations.get(&leaf);
-        for dropped in calls.iter().filter(|call| call.forwarded && call.suspect) {
+        for dropped in calls.iter().filter(|call| call.forwarded) {
             let report = CrashReport {
                 content: dropped.call.fingerprint,
                 leaf: gate.name.clone(),
--- a/crates/guavacourse/src/modules/admission/gate.rs
+++ b/crates/guavacourse/src/modules/admission/gate.rs
@@ -31,7 +31,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct DroppedCall {
     pub(super) call: InFlightCall,
-    /// Whether its content may have crashed the leaf; false if a leaf has run it.
+    /// Whether its content becomes a suspect here if the leaf crashed; false if a leaf
+    /// has recently run it, so that it takes the crashes of several leaves.
     pub(super) suspect: bool,
     /// Whether it belongs to a forwarded request.
     pub(super) forwarded: bool,
--- a/crates/guavacourse/src/modules/crash_evidence.rs
+++ b/crates/guavacourse/src/modules/crash_evidence.rs
@@ -3,7 +3,8 @@
 //!
 //! A process that loses a leaf knows only its own calls. Callers repeat a request at
 //! any process, so the reports of all processes decide: content under which several
-//! leaves have crashed, or one leaf that ran nothing else, is quarantined.
+//! leaves have crashed, or one leaf that ran nothing else, is quarantined. That holds
+//! for content which leaves ran before, too: data changes, and so does what it crashes.
 
 use std::time::Duration;
 
--- a/crates/guavacourse/tests/admission/findings.rs
+++ b/crates/guavacourse/tests/admission/findings.rs
@@ -96,3 +96,13 @@
     deliver 2: rows
     ");
 }
+
+#[test]
+fn content_that_completed_before_the_crash_is_reported() {
+    let mut harness = Harness::new();
+    harness.submit(&forwarded(1, "a"));
+    harness.take_steps();
+    harness.answer(1);
+    crash(&mut harness, 2, "a");
+    insta::assert_snapshot!(steps_after_delay(&mut harness), @r#"report Crashed(CrashReport { content: 666, leaf: "a", born: 0, alone: false })"#);
+}
