fix(admission): probe a lost leaf also with a single connection

What callers saw: in a fleet whose processes may open one connection to a leaf, a crash was not counted, so its requests were not suspected.

Cause: the connection that had just closed under the call still counted as open when the relay asked whether it may open one to probe the leaf.

Change: the probe takes the place of the closed connection.

Result: a_crash_is_noticed_with_a_single_connection found no probe before, and one now.

--- a/crates/guavacourse/src/modules/admission/gate.rs
+++ b/crates/guavacourse/src/modules/admission/gate.rs
@@ -145,6 +145,12 @@
         self.busy + self.kept + self.closing < self.connections.max(1)
     }
 
+    /// Returns whether a connection may be opened to probe the leaf, in place of the one
+    /// that has just closed under a call and still counts as in use.
+    pub(super) fn may_probe(&self) -> bool {
+        (self.busy + self.kept + self.closing).saturating_sub(1) < self.connections.max(1)
+    }
+
     /// Moves a kept connection to those being closed; returns false if there is
     /// none.
     pub(super) fn take_kept(&mut self) -> bool {
--- a/crates/guavacourse/src/modules/admission/outcome.rs
+++ b/crates/guavacourse/src/modules/admission/outcome.rs
@@ -296,7 +296,7 @@
         if !forwarded {
             self.quarantine.record_dropped_call(call, now);
         }
-        if gate.may_connect() {
+        if gate.may_probe() {
             gate.closing += 1;
             self.steps.push(Step::Probe(leaf));
         }
--- a/crates/guavacourse/tests/admission/findings.rs
+++ b/crates/guavacourse/tests/admission/findings.rs
@@ -1,5 +1,7 @@
 //! Reports of crashes under forwarded requests.
 
+use guavacourse::modules::{catalog::LeafId, inventory::Policy};
+
 use super::harness::{CallSpec, Harness, call};
 
 const CONTENT: u64 = 666;
@@ -106,3 +108,20 @@
     crash(&mut harness, 2, "a");
     insta::assert_snapshot!(steps_after_delay(&mut harness), @r#"report Crashed(CrashReport { content: 666, leaf: "a", born: 0, alone: false })"#);
 }
+
+// A process of a large fleet may open a single connection to a leaf.
+#[test]
+fn a_crash_is_noticed_with_a_single_connection() {
+    let mut harness = Harness::with_policy(Policy::Adaptive, 1, 1);
+    harness.submit(&forwarded(1, "a"));
+    harness.take_steps();
+    harness.drop_connection(1);
+    insta::assert_snapshot!(harness.take_steps(), @r"
+    probe a
+    deliver 1: unknown: Closed
+    ");
+    assert_eq!(harness.admission.connections(LeafId::of("a")), [0, 0, 1]);
+    harness.fail_probe("a");
+    assert_eq!(harness.admission.connections(LeafId::of("a")), [0, 0, 0]);
+    assert_eq!(harness.admission.counts().crashed, 1);
+}
