fix(admission): keep to the limits that leaves name, over the whole fleet

Cause: nobody read what leaves say about themselves beside their answer. Only latency moved load away from a leaf in need.

Change: the relay reads the limit in each answer and issues permits at this process's part of it. Nine tenths of the limit are shared by the processes that call the service, most of it by those in the leaf's data centre; of a large fleet only so many processes call the leaf that all of them at once stay within the limit. First calls, retries, hedges and calls for peers all pass there. A call without a permit is refused before it is sent, with the time of the next permit, so another replica is asked at once; a request that no replica takes within a quarter of its target is refused at once and told when to return. A limit ends with the first answer without one, with the leaf's lifetime, or when no answer has confirmed it for long.

--- a/crates/daemons/src/measure/core.rs
+++ b/crates/daemons/src/measure/core.rs
@@ -198,6 +198,7 @@
             attempt: call.attempt,
             queued: 0,
             service: Duration::from_micros(300),
+            retry_after: Duration::ZERO,
             outcome: Outcome::Rows(rows),
         })
     });
--- a/crates/guavacourse/schema/wire.capnp
+++ b/crates/guavacourse/schema/wire.capnp
@@ -139,6 +139,8 @@
     # The leaf does not hold the pinned version or epoch.
     elsewhere @6 :Snapshot;
   }
+  # Time after which a deferred call may be sent again.
+  retryMicros @7 :UInt64;
 }
 
 struct Snapshot {
@@ -169,6 +171,8 @@
   quarantined @8;
   ejected @9;
   suspected @10;
+  # The leaf asked for fewer calls.
+  deferred @11;
 }
 
 enum Unknown {
@@ -272,6 +276,8 @@
     late @3 :Void;
     failed @4 :Void;
   }
+  # Time after which a query that was not run may be repeated; 0 if it is not known.
+  retryMicros @5 :UInt64;
 }
 
 struct Records {
--- a/crates/guavacourse/src/edge/entry/relay_sessions.rs
+++ b/crates/guavacourse/src/edge/entry/relay_sessions.rs
@@ -332,6 +332,7 @@
         attempt,
         queued: 0,
         service: Duration::ZERO,
+        retry_after: Duration::ZERO,
         outcome,
     }
 }
--- a/crates/guavacourse/src/edge/gateway/call_router.rs
+++ b/crates/guavacourse/src/edge/gateway/call_router.rs
@@ -204,6 +204,7 @@
         attempt: call.attempt,
         queued: 0,
         service: Duration::ZERO,
+        retry_after: Duration::ZERO,
         outcome,
     }
 }
--- a/crates/guavacourse/src/edge/gateway/protocol.rs
+++ b/crates/guavacourse/src/edge/gateway/protocol.rs
@@ -64,8 +64,14 @@
 impl CallerAnswer {
     /// Returns the answer to a request that has not run, with a random retry delay.
     pub(super) fn not_run(reason: impl Into<String>) -> Self {
+        Self::not_run_until(Duration::ZERO, reason)
+    }
+
+    /// Returns the answer to a request that has not run and that leaves take after
+    /// `earliest`, with a random retry delay from then on.
+    pub(super) fn not_run_until(earliest: Duration, reason: impl Into<String>) -> Self {
         Self::NotRun {
-            retry_after: MIN_RETRY_DELAY + RETRY_JITTER.mul_f64(fastrand::f64()),
+            retry_after: earliest.max(MIN_RETRY_DELAY) + RETRY_JITTER.mul_f64(fastrand::f64()),
             reason: reason.into(),
         }
     }
--- a/crates/guavacourse/src/edge/gateway/query_wire.rs
+++ b/crates/guavacourse/src/edge/gateway/query_wire.rs
@@ -98,7 +98,13 @@
                 signatures,
             );
         }
-        Reply::Completed(CallerAnswer::NotRun { reason, .. }) => out.set_not_run(reason),
+        Reply::Completed(CallerAnswer::NotRun {
+            retry_after,
+            reason,
+        }) => {
+            out.set_retry_micros(micros(*retry_after));
+            out.set_not_run(reason);
+        }
         Reply::Completed(CallerAnswer::Late) => out.set_late(()),
         // Apart from `Failed`, queries over many shards end with none of these.
         Reply::Completed(
@@ -127,7 +133,10 @@
     Ok(match result.which()? {
         result::Which::Declined(reason) => Reply::Declined(reason?),
         result::Which::Records(records) => Reply::Completed(read_records(records?)?),
-        result::Which::NotRun(why) => Reply::Completed(CallerAnswer::not_run(why?.to_string()?)),
+        result::Which::NotRun(why) => Reply::Completed(CallerAnswer::NotRun {
+            retry_after: Duration::from_micros(result.get_retry_micros()),
+            reason: why?.to_string()?,
+        }),
         result::Which::Late(()) => Reply::Completed(CallerAnswer::Late),
         result::Which::Failed(()) => Reply::Completed(CallerAnswer::Failed),
     })
--- a/crates/guavacourse/src/edge/gateway/requests.rs
+++ b/crates/guavacourse/src/edge/gateway/requests.rs
@@ -148,7 +148,8 @@
 
 fn from_failure(failure: Failure) -> CallerAnswer {
     if failure.not_run {
-        return CallerAnswer::not_run("no leaf could take the request");
+        let earliest = failure.retry_after.unwrap_or_default();
+        return CallerAnswer::not_run_until(earliest, "no leaf could take the request");
     }
     match (failure.reply, failure.reason) {
         (Some(reply), _) => CallerAnswer::Whole(reply),
--- a/crates/guavacourse/src/edge/relay/dispatcher.rs
+++ b/crates/guavacourse/src/edge/relay/dispatcher.rs
@@ -26,6 +26,7 @@
         catalog::LeafId,
         collections::Map,
         crash_evidence::Finding,
+        leaf_notice::LeafEvent,
         thread_assignment::ThreadAssignment,
         time::Time,
         view::View,
@@ -232,6 +233,7 @@
             Step::Deliver(session, reply) => self.deliver(session, reply),
             Step::Quarantine { content, then } => self.announce_quarantine(content, then),
             Step::Report(finding) => (self.on_finding)(finding),
+            Step::Note(event) => log_leaf_event(&event),
         }
     }
 
@@ -318,6 +320,18 @@
     tracing::warn!("the relay stops although {pending}; check for a hung process");
 }
 
+/// Logs a change in what a leaf asks for.
+fn log_leaf_event(event: &LeafEvent) {
+    match event {
+        LeafEvent::Limited { leaf, total, own } => {
+            tracing::info!(leaf, total, own, "a leaf limits its requests");
+        }
+        LeafEvent::Unlimited { leaf } => {
+            tracing::info!(leaf, "a leaf no longer limits its requests");
+        }
+    }
+}
+
 /// Passes a report to the core.
 fn apply_report(core: &mut Admission, report: Report, now: Time) {
     match report {
@@ -325,6 +339,7 @@
         Report::Abandoned(key) => core.abandoned(key, now),
         Report::Released(leaf) => core.released(leaf, false, now),
         Report::Closed(leaf) => core.closed(leaf, now),
+        Report::Noticed(key, notice) => core.notice(key, notice, now),
         Report::Probed(leaf, alive) => core.probed(leaf, alive, now),
     }
 }
--- a/crates/guavacourse/src/edge/relay/exchanges.rs
+++ b/crates/guavacourse/src/edge/relay/exchanges.rs
@@ -32,6 +32,7 @@
         call::Unknown,
         catalog::LeafId,
         collections::Map,
+        leaf_notice::LeafNotice,
     },
 };
 
@@ -85,6 +86,8 @@
 pub(super) enum Report {
     /// An exchange ended.
     Ended(JobKey, Ending, ConnectionState),
+    /// The answer to a call has a notice of its leaf; its exchange ends next.
+    Noticed(JobKey, LeafNotice),
     /// The connection of a cancelled call is closed.
     Abandoned(JobKey),
     /// A connection reported as closing after its exchange is now closed.
@@ -210,7 +213,13 @@
         };
         let mut connection = kept.filter(usable);
         let sent = Cell::new(false);
-        let run = async { Some(self.send_call(&call, &mut connection, &sent).await) };
+        let run = async {
+            let (ending, notice) = self.send_call(&call, &mut connection, &sent).await;
+            if matches!(ending, Ending::Answered(_)) {
+                self.report(Report::Noticed(call.key, notice));
+            }
+            Some(ending)
+        };
         let interrupted = async {
             // An error means that the call can no longer be interrupted.
             let Ok(reason) = interrupted.await else {
@@ -236,7 +245,7 @@
         call: &Dispatch,
         connection: &mut Option<Connection>,
         sent: &Cell<bool>,
-    ) -> Ending {
+    ) -> (Ending, LeafNotice) {
         if connection.is_none() {
             let opened = connect(call.address).await;
             let close_delimited = self.protocol.allows_close_delimited();
@@ -247,7 +256,7 @@
             });
         }
         let Some(connection) = connection.as_mut() else {
-            return Ending::Unreachable;
+            return (Ending::Unreachable, LeafNotice::default());
         };
         sent.set(true);
         // Unique over all sessions, unlike the attempt ids of entries.
--- a/crates/guavacourse/src/edge/relay/protocol.rs
+++ b/crates/guavacourse/src/edge/relay/protocol.rs
@@ -6,6 +6,7 @@
 use crate::modules::{
     admission::{Ending, Job},
     call::Unknown,
+    leaf_notice::LeafNotice,
 };
 
 /// One call to a leaf.
@@ -32,6 +33,11 @@
     /// Decodes a whole response into the ending of its call.
     fn decode(&self, call: &LeafCall<'_>, head: &ResponseHead, body: Vec<u8>) -> Ending;
 
+    /// Returns what a leaf says about itself in a response, besides the answer.
+    fn notice(&self, _head: &ResponseHead) -> LeafNotice {
+        LeafNotice::default()
+    }
+
     /// Returns whether a response may have no length and end when the connection
     /// closes.
     fn allows_close_delimited(&self) -> bool {
@@ -39,20 +45,24 @@
     }
 }
 
-/// Sends a call over an open connection and reads the leaf's reply.
+/// Sends a call over an open connection and reads the leaf's reply and notice.
 pub(super) async fn exchange(
     protocol: &dyn LeafProtocol,
     connection: &mut Connection,
     call: &LeafCall<'_>,
-) -> Ending {
+) -> (Ending, LeafNotice) {
     let Some(request) = protocol.encode(call) else {
-        return Ending::Unreachable;
+        return (Ending::Unreachable, LeafNotice::default());
     };
-    match connection.exchange_bytes(&request).await {
-        Ok((head, body)) => protocol.decode(call, &head, body),
+    let ending = match connection.exchange_bytes(&request).await {
+        Ok((head, body)) => {
+            let notice = protocol.notice(&head);
+            return (protocol.decode(call, &head, body), notice);
+        }
         Err(ExchangeError::Unreachable(_)) => Ending::Unreachable,
         Err(ExchangeError::Closed(_)) => Ending::Lost(Unknown::Closed),
         Err(ExchangeError::Malformed(_)) => Ending::Lost(Unknown::Malformed),
         Err(ExchangeError::Timeout) => Ending::Lost(Unknown::Timeout),
-    }
+    };
+    (ending, LeafNotice::default())
 }
--- a/crates/guavacourse/src/edge/wire.rs
+++ b/crates/guavacourse/src/edge/wire.rs
@@ -124,6 +124,7 @@
         attempt: AttemptId(reply.get_attempt()),
         queued: reply.get_queued(),
         service: Duration::from_micros(reply.get_service_micros()),
+        retry_after: Duration::from_micros(reply.get_retry_micros()),
         outcome,
     })
 }
@@ -165,6 +166,7 @@
         NotRun::Quarantined => wire::NotRun::Quarantined,
         NotRun::Ejected => wire::NotRun::Ejected,
         NotRun::Suspected => wire::NotRun::Suspected,
+        NotRun::Deferred => wire::NotRun::Deferred,
     }
 }
 
@@ -181,6 +183,7 @@
         wire::NotRun::Quarantined => NotRun::Quarantined,
         wire::NotRun::Ejected => NotRun::Ejected,
         wire::NotRun::Suspected => NotRun::Suspected,
+        wire::NotRun::Deferred => NotRun::Deferred,
     }
 }
 
--- a/crates/guavacourse/src/modules/admission.rs
+++ b/crates/guavacourse/src/modules/admission.rs
@@ -9,6 +9,7 @@
 mod findings;
 mod gate;
 mod job;
+mod notices;
 mod outcome;
 mod queue;
 
@@ -236,9 +237,10 @@
         if !self.gates.contains_key(&leaf) {
             self.update_gate(leaf, now);
         }
-        if let Some(reason) = self.refusal(&mut job, now) {
-            self.refuse(&job, reason);
-            return;
+        match self.refusal(&mut job, now) {
+            Some(NotRun::Deferred) => return self.defer(&job, now),
+            Some(reason) => return self.refuse(&job, reason),
+            None => {}
         }
         let id = (job.session, job.call.attempt);
         if job.alone {
@@ -284,6 +286,9 @@
         if gate.leaving() {
             return Some(NotRun::Draining);
         }
+        if gate.opens_at(now).is_some() {
+            return Some(NotRun::Deferred);
+        }
         if !self.adaptive() {
             return None;
         }
@@ -349,6 +354,7 @@
             gate.kept -= 1;
         }
         gate.busy += 1;
+        gate.use_permit(now);
         self.counts.dispatched += 1;
         self.steps.push(Step::Dispatch {
             job: key,
@@ -369,6 +375,7 @@
             attempt: job.call.attempt,
             queued: u32::try_from(waiting).unwrap_or(u32::MAX),
             service,
+            retry_after: Duration::ZERO,
             outcome,
         }
     }
@@ -398,12 +405,14 @@
         gate.state = entry.state;
         gate.listed_leaving = view.leaving.contains(&leaf);
         let listed_incarnation = view.incarnations.get(&leaf).copied().unwrap_or_default();
+        gate.listed(listed_incarnation);
         let seen = listed_incarnation == gate.incarnation
             || gate.past_incarnations.contains(&listed_incarnation);
         if gate.draining && listed_incarnation != 0 && !seen {
             gate.reset(listed_incarnation);
         }
         let leaving = gate.leaving();
+        self.share_limit(leaf, now);
         if address_changed {
             self.close_kept(leaf);
         }
--- a/crates/guavacourse/src/modules/admission/gate.rs
+++ b/crates/guavacourse/src/modules/admission/gate.rs
@@ -5,7 +5,10 @@
     time::Duration,
 };
 
-use super::job::{JobKey, KindId, Rank, SessionId};
+use super::{
+    job::{JobKey, KindId, Rank, SessionId},
+    notices::NamedLimit,
+};
 use crate::modules::{
     call::Reply,
     concurrency::ConcurrencyLimit,
@@ -64,8 +67,12 @@
     pub(super) kept: u32,
     /// Incarnation as the leaf reports it; 0 if not known.
     pub(super) incarnation: u64,
+    /// Incarnation in the instance list; 0 if not known.
+    listed_incarnation: u64,
     /// Earlier incarnations, whose replies are ignored.
     pub(super) past_incarnations: Vec<u64>,
+    /// Limit that the leaf named for its calls.
+    pub(super) named_limit: Option<NamedLimit>,
     /// Whether the leaf, in its current incarnation, reported that it is draining.
     pub(super) draining: bool,
     /// Whether the instance list reports the leaf as leaving.
@@ -103,7 +110,9 @@
             closing: 0,
             kept: 0,
             incarnation: 0,
+            listed_incarnation: 0,
             past_incarnations: Vec::new(),
+            named_limit: None,
             draining: false,
             listed_leaving: false,
             state: LeafState::Serving,
@@ -209,6 +218,15 @@
         }
     }
 
+    /// Records the incarnation in the instance list. What an earlier one asked for does
+    /// not bind the calls to the next.
+    pub(super) fn listed(&mut self, incarnation: u64) {
+        if self.listed_incarnation != 0 && self.listed_incarnation != incarnation {
+            self.named_limit = None;
+        }
+        self.listed_incarnation = incarnation;
+    }
+
     /// Starts a new incarnation (0 if not known yet) and resets the state that
     /// belonged to the previous one.
     pub(super) fn reset(&mut self, incarnation: u64) {
@@ -222,6 +240,7 @@
         self.past_incarnations.drain(..surplus);
         self.incarnation = incarnation;
         self.draining = false;
+        self.named_limit = None;
         self.limit.reset();
         self.service_times.clear();
     }
--- a/crates/guavacourse/src/modules/admission/job.rs
+++ b/crates/guavacourse/src/modules/admission/job.rs
@@ -8,6 +8,7 @@
     call::{Call, NotRun, Outcome, Part, Reply, Unknown},
     catalog::LeafId,
     crash_evidence::Finding,
+    leaf_notice::LeafEvent,
     time::{Time, micros},
 };
 
@@ -134,6 +135,8 @@
     },
     /// Report to the fleet what was found out about content.
     Report(Finding),
+    /// Log a change in what a leaf asks for.
+    Note(LeafEvent),
 }
 
 /// How an exchange with a leaf ended.
--- /dev/null
+++ b/crates/guavacourse/src/modules/admission/notices.rs
@@ -0,0 +1,206 @@
+//! Keeps to what leaves ask for in their answers.
+
+use std::time::Duration;
+
+use super::{
+    Admission,
+    gate::Gate,
+    job::{Job, JobKey, Phase, Step},
+};
+use crate::modules::{
+    call::{NotRun, Outcome},
+    catalog::LeafId,
+    leaf_notice::{LeafEvent, LeafNotice},
+    ownership::mix,
+    rate_limit::RateLimit,
+    shares::LeafShare,
+    time::Time,
+    view::View,
+};
+
+/// Fraction of a named limit that the fleet uses. The rest is left for calls after which
+/// processes learn whether the limit still holds.
+const USED_FRACTION: f64 = 0.9;
+
+/// Calls that a leaf takes in the time after which a limit counts as lifted that no
+/// answer has confirmed, per process that may want to call the leaf.
+const UNCONFIRMED_CALLS: f64 = 10.0;
+
+/// Shortest and longest time after which such a limit counts as lifted.
+const MIN_UNCONFIRMED: Duration = Duration::from_secs(10);
+const MAX_UNCONFIRMED: Duration = Duration::from_mins(10);
+
+/// A limit that a leaf named in its answers.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct NamedLimit {
+    /// Calls a second that the leaf takes from the whole fleet.
+    total: f64,
+    /// This process's part of them; none if other processes make all calls.
+    own: Option<RateLimit>,
+    /// Number of processes that may want to call the leaf.
+    callers: usize,
+    /// When the leaf last named it.
+    named: Time,
+    /// When it counts as lifted if no answer confirms it.
+    lifted_at: Time,
+}
+
+impl NamedLimit {
+    /// Creates the limit that a leaf names for the first time.
+    fn new(total: f64, share: LeafShare, draw: u64, now: Time) -> Self {
+        let mut limit = Self {
+            total,
+            own: None,
+            callers: share.callers,
+            named: now,
+            lifted_at: now,
+        };
+        limit.adapt(share, draw, now);
+        limit.confirm(draw, now);
+        limit
+    }
+
+    /// Adapts the process's part to its share.
+    fn adapt(&mut self, share: LeafShare, draw: u64, now: Time) {
+        self.callers = share.callers;
+        let rate = self.total * USED_FRACTION * share.fraction;
+        match &mut self.own {
+            _ if share.fraction <= 0.0 => self.own = None,
+            Some(own) => own.set_rate(rate, now),
+            None => self.own = Some(RateLimit::new(rate, draw, now)),
+        }
+    }
+
+    /// Records that the leaf names the limit again. Until when it holds differs between
+    /// processes, so that those which make no calls do not all return together.
+    #[allow(clippy::cast_precision_loss, reason = "fleets are small")]
+    fn confirm(&mut self, draw: u64, now: Time) {
+        let wait = UNCONFIRMED_CALLS * self.callers as f64 / self.total.max(f64::MIN_POSITIVE);
+        let wait = Duration::try_from_secs_f64(wait).unwrap_or(MAX_UNCONFIRMED);
+        let wait = wait.clamp(MIN_UNCONFIRMED, MAX_UNCONFIRMED);
+        let spread = wait.mul_f64(draw as f64 / u64::MAX as f64);
+        self.named = now;
+        self.lifted_at = now.after(wait + spread);
+    }
+
+    /// Returns when the process may make the next call.
+    fn opens_at(&self) -> Time {
+        let next = self.own.map_or(Time::MAX, |own| own.next_permit());
+        next.min(self.lifted_at)
+    }
+}
+
+impl Gate {
+    /// Returns when the leaf takes the next call; `None` if it takes one now.
+    pub(super) fn opens_at(&self, now: Time) -> Option<Time> {
+        let next = self.named_limit.map(|limit| limit.opens_at());
+        next.filter(|next| *next > now)
+    }
+
+    /// Counts a call that starts now.
+    pub(super) fn use_permit(&mut self, now: Time) {
+        let Some(limit) = &mut self.named_limit else {
+            return;
+        };
+        if now >= limit.lifted_at {
+            self.named_limit = None;
+        } else if let Some(own) = &mut limit.own {
+            own.take(now);
+        }
+    }
+}
+
+impl Admission {
+    /// Handles the notice in the answer to a call, before the end of its exchange.
+    pub fn notice(&mut self, key: JobKey, notice: LeafNotice, now: Time) {
+        let Some(job) = self.jobs.get(key) else {
+            return;
+        };
+        let Phase::Running { since, .. } = job.phase else {
+            return;
+        };
+        let leaf = job.call.leaf;
+        match notice.limit {
+            Some(total) => self.set_limit(leaf, total, now),
+            None => self.end_limit(leaf, since),
+        }
+    }
+
+    /// Starts or changes the limit of a leaf.
+    fn set_limit(&mut self, leaf: LeafId, total: f64, now: Time) {
+        let Some(gate) = self.gates.get_mut(&leaf) else {
+            return;
+        };
+        let draw = mix(leaf.0 ^ now.0);
+        let known = gate.named_limit.as_mut();
+        if let Some(limit) = known.filter(|limit| limit.total.to_bits() == total.to_bits()) {
+            return limit.confirm(draw, now);
+        }
+        let share = own_share(&self.view, leaf, gate, total);
+        if let Some(limit) = &mut gate.named_limit {
+            limit.total = total;
+            limit.adapt(share, draw, now);
+            return limit.confirm(draw, now);
+        }
+        gate.named_limit = Some(NamedLimit::new(total, share, draw, now));
+        self.steps.push(Step::Note(LeafEvent::Limited {
+            leaf: gate.name.clone(),
+            total,
+            own: total * share.fraction,
+        }));
+        self.defer_waiting(leaf, now);
+    }
+
+    /// Ends the limit of a leaf that answers without one, if the call was sent after the
+    /// leaf last named it.
+    fn end_limit(&mut self, leaf: LeafId, sent: Time) {
+        let Some(gate) = self.gates.get_mut(&leaf) else {
+            return;
+        };
+        if gate.named_limit.is_some_and(|limit| sent > limit.named) {
+            gate.named_limit = None;
+            let leaf = gate.name.clone();
+            self.steps.push(Step::Note(LeafEvent::Unlimited { leaf }));
+        }
+    }
+
+    /// Adapts the process's part of a leaf's limit to its share in the current view.
+    pub(super) fn share_limit(&mut self, leaf: LeafId, now: Time) {
+        let Some(gate) = self.gates.get_mut(&leaf) else {
+            return;
+        };
+        if let Some(mut limit) = gate.named_limit {
+            let share = own_share(&self.view, leaf, gate, limit.total);
+            limit.adapt(share, mix(leaf.0 ^ now.0), now);
+            gate.named_limit = Some(limit);
+        }
+    }
+
+    /// Refuses a call to a leaf that takes none now, and says when it takes the next.
+    pub(super) fn defer(&mut self, job: &Job, now: Time) {
+        self.counts.refused += 1;
+        let gate = self.gates.get(&job.call.leaf);
+        let opens = gate.and_then(|gate| gate.opens_at(now));
+        let mut reply = self.reply_to(job, Outcome::NotRun(NotRun::Deferred), Duration::ZERO);
+        reply.retry_after = opens.map_or(Duration::ZERO, |opens| opens.left(now));
+        self.steps.push(Step::Deliver(job.session, reply));
+    }
+
+    /// Refuses all calls that wait for a leaf which takes none now.
+    pub(super) fn defer_waiting(&mut self, leaf: LeafId, now: Time) {
+        for key in self.waiting_calls(leaf) {
+            self.dequeue(key);
+            if let Some(job) = self.remove(key) {
+                self.defer(&job, now);
+            }
+        }
+    }
+}
+
+/// Returns this process's share of the calls to a leaf that takes `total` a second.
+fn own_share(view: &View, leaf: LeafId, gate: &Gate, total: f64) -> LeafShare {
+    let entry = view.catalog.leaf(leaf);
+    let data_centre = entry.map_or("", |entry| entry.data_centre.as_str());
+    view.shares
+        .for_leaf(leaf, &gate.service, data_centre, total)
+}
--- a/crates/guavacourse/src/modules/admission/queue.rs
+++ b/crates/guavacourse/src/modules/admission/queue.rs
@@ -83,6 +83,9 @@
                 return;
             };
             let busy = gate.busy;
+            if gate.waiting() > 0 && gate.opens_at(now).is_some() {
+                return self.defer_waiting(leaf, now);
+            }
             if !gate.may_start(adaptive, now) {
                 return;
             }
@@ -197,7 +200,7 @@
     }
 
     /// Removes a call from the queue of its leaf.
-    fn dequeue(&mut self, key: JobKey) {
+    pub(super) fn dequeue(&mut self, key: JobKey) {
         let Some(job) = self.jobs.get(key) else {
             return;
         };
@@ -239,16 +242,20 @@
 
     /// Refuses all calls that wait for a leaf.
     pub(super) fn refuse_waiting(&mut self, leaf: LeafId, reason: NotRun) {
+        for key in self.waiting_calls(leaf) {
+            self.refuse_queued(key, reason);
+        }
+    }
+
+    /// Returns all calls that wait for a leaf.
+    pub(super) fn waiting_calls(&self, leaf: LeafId) -> Vec<JobKey> {
         let Some(gate) = self.gates.get(&leaf) else {
-            return;
+            return Vec::new();
         };
         let queued = gate.queue.iter().map(|(_, key)| *key);
         let duplicates = gate.duplicates.iter().copied();
         let trials = gate.trial_queue.iter().copied();
-        let waiting: Vec<JobKey> = queued.chain(trials).chain(duplicates).collect();
-        for key in waiting {
-            self.refuse_queued(key, reason);
-        }
+        queued.chain(trials).chain(duplicates).collect()
     }
 
     /// Refuses every queued call with this content.
--- a/crates/guavacourse/src/modules/answer.rs
+++ b/crates/guavacourse/src/modules/answer.rs
@@ -1,6 +1,6 @@
 //! The result of a query: rows and their coverage, or a failure.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use serde::Serialize;
 use serde_json::value::RawValue;
@@ -92,6 +92,10 @@
     /// Failure reply of the request's only leaf.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub reply: Option<ForwardedReply>,
+    /// Time after which leaves that asked for fewer calls take the request, if that is
+    /// known.
+    #[serde(skip)]
+    pub retry_after: Option<Duration>,
     /// Coverage when the query ended.
     pub coverage: Coverage,
     /// Configuration revision that the query was planned with.
--- a/crates/guavacourse/src/modules/call.rs
+++ b/crates/guavacourse/src/modules/call.rs
@@ -102,6 +102,8 @@
     pub queued: u32,
     /// Time that the leaf took.
     pub service: Duration,
+    /// Time after which a deferred call may be sent again; zero for any other.
+    pub retry_after: Duration,
     /// How the attempt ended.
     pub outcome: Outcome,
 }
@@ -202,6 +204,8 @@
     Ejected,
     /// The content may have crashed a leaf; it may be tried alone elsewhere.
     Suspected,
+    /// The leaf asked for fewer calls.
+    Deferred,
 }
 
 /// Why it is not known whether a call ran.
--- a/crates/guavacourse/src/modules/load_balancer.rs
+++ b/crates/guavacourse/src/modules/load_balancer.rs
@@ -372,6 +372,7 @@
                 stats.record_newest(rows.newest.max(rows.version), now);
             }
             Outcome::Elsewhere(held) => stats.record_versions(held.oldest, held.newest, now),
+            Outcome::NotRun(NotRun::Deferred) => stats.close(now.after(reply.retry_after)),
             Outcome::NotRun(why) => {
                 overloaded = matches!(why, NotRun::Shed | NotRun::QueueFull);
                 if blames_leaf(*why, attempt.cause) && !link_failed {
@@ -396,6 +397,24 @@
         hedge::hedge_after(&own.latency, &self.latency, &self.lateness)
     }
 
+    /// Returns when a leaf that asked for fewer calls takes the next one; `None` if it
+    /// takes one now.
+    fn opens_at(&self, leaf: LeafId, now: Time) -> Option<Time> {
+        let opens = self.leaves.get(&leaf).map(|leaf| leaf.closed_until);
+        opens.filter(|opens| *opens > now)
+    }
+
+    /// Returns when the first leaf of a shard takes a call again; `None` if one does
+    /// now, or if there is none.
+    pub(crate) fn shard_opens_at(&self, view: &View, shard: ShardKey, now: Time) -> Option<Time> {
+        let shard = view.catalog.shards.get(shard)?;
+        let leaves = shard.replicas.iter().map(|key| &view.catalog.leaves[*key]);
+        let serving = leaves
+            .filter(|leaf| leaf.state == LeafState::Serving && !view.leaving.contains(&leaf.id));
+        let opens = serving.map(|leaf| self.opens_at(leaf.id, now).unwrap_or(now));
+        opens.min().filter(|opens| *opens > now)
+    }
+
     /// Returns whether a leaf is avoided after failures.
     pub(crate) fn avoided(&self, leaf: LeafId, now: Time) -> bool {
         self.leaves.get(&leaf).is_some_and(|leaf| leaf.avoided(now))
@@ -484,7 +503,9 @@
         let slots = view.catalog.services[shard.service].slots;
         let serving = shard.replicas.iter().copied().filter(|key| {
             let leaf = &view.catalog.leaves[*key];
-            leaf.state == LeafState::Serving && !view.leaving.contains(&leaf.id)
+            leaf.state == LeafState::Serving
+                && !view.leaving.contains(&leaf.id)
+                && self.opens_at(leaf.id, now).is_none()
         });
         let mut ranked: Vec<Candidate> = serving
             .map(|key| {
@@ -573,6 +594,7 @@
         NotRun::Declined | NotRun::Draining | NotRun::Ejected | NotRun::Unreachable => true,
         NotRun::QueueFull | NotRun::Shed => cause != Cause::Hedge,
         NotRun::Cancelled
+        | NotRun::Deferred
         | NotRun::Expired
         | NotRun::Leaving
         | NotRun::NotOwner
--- a/crates/guavacourse/src/modules/query.rs
+++ b/crates/guavacourse/src/modules/query.rs
@@ -122,6 +122,8 @@
     repeatable: bool,
     /// Time after which an answer is no longer of full use to the caller.
     target: Option<Time>,
+    /// Latest time for which a shard whose leaves asked for fewer calls is awaited.
+    latest_opening: Time,
     /// Age at which an unanswered call is late for the caller's target.
     late_after: Option<Duration>,
     /// Whether the caller's original request is forwarded to leaves.
@@ -133,6 +135,9 @@
 pub struct Query {
     view: Arc<View>,
     newer_view: Option<Arc<View>>,
+    /// When the first leaf takes a call again, of those that asked for fewer calls and
+    /// were not awaited.
+    opens_at: Option<Time>,
     request: QueryRequest,
     params: QueryParams,
     started: Time,
@@ -201,6 +206,7 @@
             failed_reply: None,
             view,
             newer_view: None,
+            opens_at: None,
             request,
             params,
             started: now,
--- a/crates/guavacourse/src/modules/query/admission.rs
+++ b/crates/guavacourse/src/modules/query/admission.rs
@@ -20,6 +20,10 @@
 /// copy that takes the usual time still ends within the target.
 const LATE_FRACTION: f64 = 0.3;
 
+/// Fraction of the caller's target for which a request waits for a leaf that asked for
+/// fewer calls. One that would wait longer is told at once when to come back.
+const OPENING_FRACTION: f64 = 0.25;
+
 /// Returns the kind of a request, or why the request is refused.
 pub(super) fn validate<'a>(
     view: &'a View,
@@ -82,6 +86,9 @@
         services,
         repeatable: rules.class == Class::Query,
         target: target.map(|target| now.after(target.saturating_sub(age))),
+        latest_opening: target.map_or(Time::MAX, |target| {
+            now.after(target.mul_f64(OPENING_FRACTION).saturating_sub(age))
+        }),
         late_after: target.map(|target| target.mul_f64(LATE_FRACTION)),
         forwarded: request.forward.is_some(),
     }
--- a/crates/guavacourse/src/modules/query/calls.rs
+++ b/crates/guavacourse/src/modules/query/calls.rs
@@ -69,7 +69,7 @@
         }
         let Some(choice) = self.choose(index, ctx) else {
             self.slots[index].clear_tried();
-            return;
+            return self.await_opening(index, ctx);
         };
         if !plain && !self.spend_retry(index, charged, ctx) {
             self.trace.denied += 1;
@@ -209,16 +209,38 @@
             }
             match choice {
                 Some(choice) => self.call(index, choice, cause, ctx),
-                None => self.slots[index].retry_at = ctx.now.after(RETRY_DELAY),
+                None => self.await_choice(index, ctx),
             }
         }
     }
 
+    /// Tries a shard again later for which no leaf can be called now.
+    fn await_choice(&mut self, index: usize, ctx: &mut EventContext<'_>) {
+        self.slots[index].retry_at = ctx.now.after(RETRY_DELAY);
+        self.await_opening(index, ctx);
+    }
+
+    /// If all leaves of a shard have asked for fewer calls, waits for the first that
+    /// takes one. Closes the slot if that is too late for the caller.
+    fn await_opening(&mut self, index: usize, ctx: &mut EventContext<'_>) {
+        let shard = self.slots[index].shard;
+        let Some(opens) = ctx.balancer.shard_opens_at(&self.view, shard, ctx.now) else {
+            return;
+        };
+        if opens > self.params.latest_opening {
+            let earliest = self.opens_at.map_or(opens, |other| other.min(opens));
+            self.opens_at = Some(earliest);
+            return self.close(index);
+        }
+        self.slots[index].retry_at = opens;
+        self.next_timer = self.next_timer.min(opens);
+    }
+
     /// Sends the first call of one slot.
     pub(super) fn call_first(&mut self, index: usize, ctx: &mut EventContext<'_>) {
         match self.choose(index, ctx) {
             Some(choice) => self.call(index, choice, Cause::First, ctx),
-            None => self.slots[index].retry_at = ctx.now.after(RETRY_DELAY),
+            None => self.await_choice(index, ctx),
         }
     }
 
--- a/crates/guavacourse/src/modules/query/replies.rs
+++ b/crates/guavacourse/src/modules/query/replies.rs
@@ -152,6 +152,7 @@
             }
             NotRun::Declined => self.retry(attempt.slot, true, ctx),
             NotRun::Unreachable
+            | NotRun::Deferred
             | NotRun::Draining
             | NotRun::Cancelled
             | NotRun::NotOwner
--- a/crates/guavacourse/src/modules/query/report.rs
+++ b/crates/guavacourse/src/modules/query/report.rs
@@ -1,6 +1,6 @@
 //! Builds the answer of a query that has ended.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use super::{Query, plan::Attempt};
 use crate::modules::{
@@ -45,6 +45,9 @@
             not_run: query.exposure.proves_not_run(),
             exposure: query.exposure,
             reply: query.failed_reply.clone(),
+            retry_after: query
+                .opens_at
+                .map(|opens| opens.left(ended(query, started))),
             coverage,
             revision,
         }),
@@ -54,6 +57,11 @@
     Answer { body, trace }
 }
 
+/// Returns when a query that was started at `started` ended.
+fn ended(query: &Query, started: Time) -> Time {
+    started.after(Duration::from_micros(query.trace.elapsed_us))
+}
+
 /// Joins the bodies in the format of the kind; `None` if they are not in that
 /// format.
 fn join_bodies(query: &Query, bodies: &[Arc<[u8]>]) -> Option<AnswerRows> {
--- a/crates/guavacourse/src/modules/replicas.rs
+++ b/crates/guavacourse/src/modules/replicas.rs
@@ -52,6 +52,8 @@
     pub latency: LatencyHistogram,
     /// Calls of this thread that have no reply yet.
     pub pending: u32,
+    /// Until when the leaf, which asked for fewer calls, takes none.
+    pub closed_until: Time,
     smoothed: f64,
     min_latency: f64,
     overhead: f64,
@@ -100,6 +102,11 @@
         probe
     }
 
+    /// Records that the leaf takes no call before `until`.
+    pub fn close(&mut self, until: Time) {
+        self.closed_until = until;
+    }
+
     /// Records a failure: the leaf is avoided for a while, longer each time.
     pub fn fail(&mut self, now: Time) {
         self.failures = self.failures.saturating_add(1);
--- a/crates/guavacourse/src/modules/shares.rs
+++ b/crates/guavacourse/src/modules/shares.rs
@@ -5,9 +5,13 @@
 //! services of such queries. All other services are called by every process
 //! alike.
 
+use std::sync::Arc;
+
 use super::{
+    catalog::{LeafId, stable_hash},
     collections::{Map, Set},
     members::Member,
+    ownership::mix,
 };
 
 /// A process is strong if its share of a core is at least this fraction of the
@@ -18,9 +22,41 @@
 /// many shards. The others run such queries only when they have lost their peers.
 const STRONG_SHARE: f64 = 0.9;
 
+/// Share of the calls to a leaf that the processes in its data centre get together, if
+/// others call it too: they prefer it to other replicas.
+const NEAR_SHARE: f64 = 0.7;
+
+/// Maximum number of processes that call a leaf which limits its calls: this multiple of
+/// the calls a second that it takes, and a constant. With more of them, the calls that
+/// all make at the same moment would exceed the limit.
+const CALLERS_PER_CALL: f64 = 2.0;
+const MIN_CALLERS: f64 = 5.0;
+
+/// A process that shares the calls to leaves.
+#[derive(Clone, Debug, PartialEq)]
+struct CallingProcess {
+    /// Hash of its name.
+    hash: u64,
+    data_centre: String,
+    strong: bool,
+}
+
+/// This process's part of the calls to a leaf that limits them.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LeafShare {
+    /// Fraction of the calls, 0 to 1; 0 if others make all of them.
+    pub fraction: f64,
+    /// Number of processes that may want to call the leaf.
+    pub callers: usize,
+}
+
 /// Shares of the fleet's limits that one process may use, 0 to 1.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Shares {
+    /// Hash of the process's name.
+    own: u64,
+    /// All processes; none if the process is the only one.
+    processes: Arc<[CallingProcess]>,
     /// Share of a service that every process calls.
     common: f64,
     /// Share of a service that queries over many shards call.
@@ -33,6 +69,8 @@
     /// Returns the shares of a process that is the only one of its fleet.
     fn default() -> Self {
         Self {
+            own: 0,
+            processes: Arc::default(),
             common: 1.0,
             fan_out: 1.0,
             fan_out_services: Set::default(),
@@ -52,13 +90,21 @@
         let members: Vec<&Member> = members.into_iter().collect();
         let strong: Vec<&Member> = strong_members(&members);
         let weak = members.len() - strong.len();
+        let is_strong = |member: &Member| strong.iter().any(|other| other.name == member.name);
         let own_strong = strong.iter().any(|member| member.name == own);
+        let processes = members.iter().map(|member| CallingProcess {
+            hash: stable_hash(member.name.as_bytes()),
+            data_centre: member.data_centre.clone(),
+            strong: is_strong(member),
+        });
         let fan_out = match (own_strong, weak) {
             (true, 0) => divide(1.0, strong.len()),
             (true, _) => divide(STRONG_SHARE, strong.len()),
             (false, _) => divide(1.0 - STRONG_SHARE, weak),
         };
         Self {
+            own: stable_hash(own.as_bytes()),
+            processes: processes.collect(),
             common: divide(1.0, members.len()),
             fan_out,
             fan_out_services,
@@ -74,6 +120,55 @@
             self.common
         }
     }
+
+    /// Returns the part of the calls to a leaf of a service in `data_centre`, which takes
+    /// `total` calls a second from the whole fleet.
+    #[must_use]
+    pub fn for_leaf(
+        &self,
+        leaf: LeafId,
+        service: &str,
+        data_centre: &str,
+        total: f64,
+    ) -> LeafShare {
+        let fan_out = self.fan_out_services.contains(service);
+        let callers = self.processes.iter().filter(|p| p.strong || !fan_out);
+        let mut callers: Vec<&CallingProcess> = callers.collect();
+        let count = callers.len();
+        if count == 0 {
+            return LeafShare {
+                fraction: 1.0,
+                callers: 1,
+            };
+        }
+        let near = |process: &CallingProcess| process.data_centre == data_centre;
+        callers.sort_by_key(|process| (!near(process), mix(process.hash ^ leaf.0)));
+        callers.truncate(max_callers(total));
+        let all_near = callers.iter().filter(|process| near(process)).count();
+        let all_far = callers.len() - all_near;
+        let own = callers.iter().find(|process| process.hash == self.own);
+        let fraction = own.map_or(0.0, |own| match (near(own), all_near, all_far) {
+            (true, _, 0) => divide(1.0, all_near),
+            (true, ..) => divide(NEAR_SHARE, all_near),
+            (false, 0, _) => divide(1.0, all_far),
+            (false, ..) => divide(1.0 - NEAR_SHARE, all_far),
+        });
+        LeafShare {
+            fraction,
+            callers: count,
+        }
+    }
+}
+
+/// Returns the maximum number of processes that call a leaf which takes `total` calls a
+/// second.
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a cast to an integer saturates"
+)]
+fn max_callers(total: f64) -> usize {
+    (CALLERS_PER_CALL * total + MIN_CALLERS) as usize
 }
 
 /// Returns the processes that are strong in their data centre, in the order of
--- a/crates/guavacourse/tests/action.rs
+++ b/crates/guavacourse/tests/action.rs
@@ -76,6 +76,7 @@
         attempt: AttemptId(attempt),
         queued: 0,
         service: Duration::ZERO,
+        retry_after: Duration::ZERO,
         outcome,
     }
 }
--- a/crates/guavacourse/tests/admission/harness.rs
+++ b/crates/guavacourse/tests/admission/harness.rs
@@ -26,6 +26,8 @@
     pub view: View,
     config: Config,
     dispatched: Vec<(JobKey, AttemptId)>,
+    /// Time after which the last deferred call may be sent again.
+    pub retry_after: Option<Duration>,
 }
 
 /// Parameters of a call to submit; `budget` is in milliseconds.
@@ -106,6 +108,7 @@
             view: View::default(),
             config,
             dispatched: Vec::new(),
+            retry_after: None,
         };
         harness.publish();
         harness
@@ -210,8 +213,13 @@
             }
             Step::CloseKept(leaf, count) => format!("close {count} kept to {}", leaf_name(*leaf)),
             Step::Probe(leaf) => format!("probe {}", leaf_name(*leaf)),
-            Step::Deliver(_, reply) => describe_reply(reply),
+            Step::Deliver(_, reply) => {
+                let deferred = reply.outcome == Outcome::NotRun(NotRun::Deferred);
+                self.retry_after = deferred.then_some(reply.retry_after).or(self.retry_after);
+                describe_reply(reply)
+            }
             Step::Report(finding) => format!("report {finding:?}"),
+            Step::Note(event) => format!("note {event:?}"),
             Step::Quarantine { content, then } => {
                 let then = then.as_ref().map(|(_, reply)| describe_reply(reply));
                 let then = then.unwrap_or_else(|| "nothing".to_owned());
--- a/crates/guavacourse/tests/admission/main.rs
+++ b/crates/guavacourse/tests/admission/main.rs
@@ -5,5 +5,6 @@
 mod harness;
 mod health;
 mod leaving;
+mod notices;
 mod quarantine;
 mod queue;
--- /dev/null
+++ b/crates/guavacourse/tests/admission/notices.rs
@@ -0,0 +1,156 @@
+//! What leaves ask for in their answers.
+
+use std::time::Duration;
+
+use guavacourse::modules::{catalog::LeafId, leaf_notice::LeafNotice, shares::Shares, time::Time};
+
+use super::harness::{Harness, call};
+
+fn limited(total: f64) -> LeafNotice {
+    LeafNotice { limit: Some(total) }
+}
+
+/// Answers an attempt with a notice.
+fn answer(harness: &mut Harness, attempt: u64, notice: LeafNotice) {
+    let key = harness.job_key(attempt);
+    harness.admission.notice(key, notice, harness.now);
+    harness.answer(attempt);
+}
+
+/// Submits calls and has each answered with a notice, one call each ten milliseconds.
+/// Returns the number of calls that the leaf got.
+fn calls_in(harness: &mut Harness, millis: u64, notice: LeafNotice, first: u64) -> usize {
+    let mut got = 0;
+    for attempt in first..first + millis / 10 {
+        harness.submit(&call(attempt));
+        if harness.take_steps().contains("dispatch") {
+            got += 1;
+            answer(harness, attempt, notice);
+            harness.take_steps();
+        }
+        harness.advance(10);
+    }
+    got
+}
+
+/// Has the leaf name a limit in its first answer.
+fn with_limit(total: f64) -> Harness {
+    let mut harness = Harness::new();
+    harness.submit(&call(1));
+    harness.take_steps();
+    answer(&mut harness, 1, limited(total));
+    harness
+}
+
+#[test]
+fn calls_beyond_the_limit_are_deferred() {
+    let mut harness = with_limit(10.0);
+    insta::assert_snapshot!(harness.take_steps(), @r#"
+    note Limited { leaf: "a", total: 10.0, own: 10.0 }
+    deliver 1: rows
+    "#);
+    // The fleet uses 0.9 of the limit; two permits are saved.
+    let got = calls_in(&mut harness, 4_000, limited(10.0), 100);
+    assert!((36..=38).contains(&got), "{got}");
+    harness.submit(&call(2));
+    harness.submit(&call(3));
+    harness.submit(&call(4));
+    assert_eq!(harness.take_steps().matches("Deferred").count(), 3);
+}
+
+#[test]
+fn queued_calls_are_deferred_when_the_limit_is_named() {
+    let mut harness = Harness::new();
+    for attempt in 1..4 {
+        harness.submit(&call(attempt));
+    }
+    insta::assert_snapshot!(harness.take_steps(), @r"
+    dispatch 1 on a new connection
+    dispatch 2 on a new connection
+    ");
+    answer(&mut harness, 1, limited(1.0));
+    insta::assert_snapshot!(harness.take_steps(), @r#"
+    note Limited { leaf: "a", total: 1.0, own: 1.0 }
+    deliver 3: not run: Deferred
+    deliver 1: rows
+    "#);
+}
+
+#[test]
+fn an_answer_without_a_limit_ends_it() {
+    let mut harness = with_limit(1.0);
+    harness.take_steps();
+    harness.advance(1_000);
+    harness.submit(&call(2));
+    harness.take_steps();
+    answer(&mut harness, 2, LeafNotice::default());
+    insta::assert_snapshot!(harness.take_steps(), @r#"
+    note Unlimited { leaf: "a" }
+    deliver 2: rows
+    "#);
+}
+
+// Answers overtake each other on different connections.
+#[test]
+fn an_answer_to_an_earlier_call_does_not_end_the_limit() {
+    let mut harness = Harness::new();
+    harness.submit(&call(1));
+    harness.submit(&call(2));
+    harness.take_steps();
+    answer(&mut harness, 1, limited(1.0));
+    answer(&mut harness, 2, LeafNotice::default());
+    assert!(!harness.take_steps().contains("Unlimited"));
+}
+
+#[test]
+fn a_limit_ends_if_no_answer_confirms_it() {
+    let mut harness = with_limit(1.0);
+    harness.take_steps();
+    harness.advance(20_001);
+    harness.submit(&call(2));
+    harness.submit(&call(3));
+    assert_eq!(harness.take_steps().matches("dispatch").count(), 2);
+}
+
+#[test]
+fn a_new_incarnation_inherits_no_limit() {
+    let mut harness = Harness::new();
+    harness.view.incarnations.insert(LeafId::of("a"), 1);
+    harness.publish();
+    harness.submit(&call(1));
+    harness.take_steps();
+    answer(&mut harness, 1, limited(1.0));
+    harness.take_steps();
+    harness.view.incarnations.insert(LeafId::of("a"), 2);
+    harness.publish();
+    harness.submit(&call(2));
+    harness.submit(&call(3));
+    assert_eq!(harness.take_steps().matches("dispatch").count(), 2);
+}
+
+#[test]
+fn a_change_of_the_fleet_changes_the_share() {
+    let mut harness = with_limit(10.0);
+    harness.take_steps();
+    let members = ["a", "b", "c", "d"].map(|name| guavacourse::modules::members::Member {
+        name: name.to_owned(),
+        ..Default::default()
+    });
+    harness.view.shares = Shares::new("a", &members, Default::default());
+    harness.publish();
+    let got = calls_in(&mut harness, 4_000, limited(10.0), 100);
+    assert!((8..=10).contains(&got), "{got}");
+}
+
+#[test]
+fn a_deferred_call_says_when_the_leaf_takes_the_next() {
+    let mut harness = with_limit(1.0);
+    harness.take_steps();
+    harness.submit(&call(2));
+    harness.take_steps();
+    let opens = harness.retry_after.expect("deferred");
+    assert!(opens <= Duration::from_millis(1_112));
+    harness.now = Time(harness.now.0 + u64::try_from(opens.as_micros()).expect("short"));
+    harness.submit(&call(3));
+    assert!(harness.take_steps().starts_with("dispatch 3"));
+}
--- a/crates/guavacourse/tests/at_most_once/state/execution.rs
+++ b/crates/guavacourse/tests/at_most_once/state/execution.rs
@@ -155,6 +155,7 @@
             attempt: call.attempt,
             queued: 0,
             service: Duration::ZERO,
+            retry_after: Duration::ZERO,
             outcome,
         };
         let now = Time(entry.clock);
--- a/crates/guavacourse/tests/policy/simulation.rs
+++ b/crates/guavacourse/tests/policy/simulation.rs
@@ -456,6 +456,7 @@
             attempt: key.attempt,
             queued: call.queued,
             service: call.service,
+            retry_after: Duration::ZERO,
             outcome: call.outcome.expect("the call has ended"),
         };
         let Some(active) = self.queries.get_mut(&call.query) else {
--- a/crates/guavacourse/tests/query/fixture.rs
+++ b/crates/guavacourse/tests/query/fixture.rs
@@ -216,8 +216,14 @@
             attempt: call.attempt,
             queued: 0,
             service: Duration::from_millis(1),
+            retry_after: Duration::ZERO,
             outcome,
         };
+        self.reply_with(reply);
+    }
+
+    /// Passes in a reply at the current time.
+    pub fn reply_with(&mut self, reply: Reply) {
         let steps = self.query.on_reply(&mut self.balancer, reply, self.now);
         self.apply(steps);
     }
--- a/crates/guavacourse/tests/query/main.rs
+++ b/crates/guavacourse/tests/query/main.rs
@@ -2,6 +2,7 @@
 
 mod canary;
 mod coverage;
+mod deferred;
 mod fixture;
 mod hedging;
 mod plan;
