--- a/crates/guavacourse/tests/admission/notices.rs
+++ b/crates/guavacourse/tests/admission/notices.rs
@@ -1,6 +1,6 @@
 //! What leaves ask for in their answers.
 
-use std::time::Duration;
+use std::{collections::HashSet, time::Duration};
 
 use guavacourse::modules::{catalog::LeafId, leaf_notice::LeafNotice, shares::Shares, time::Time};
 
@@ -136,7 +136,7 @@
         name: name.to_owned(),
         ..Default::default()
     });
-    harness.view.shares = Shares::new("a", &members, Default::default());
+    harness.view.shares = Shares::new("a", &members, HashSet::default());
     harness.publish();
     let got = calls_in(&mut harness, 4_000, limited(10.0), 100);
     assert!((8..=10).contains(&got), "{got}");
