fix(gateway): answer every request of a stop, pass on no late action

Until the end of the grace period the process accepted connections and passed their requests on; when it exited, open requests were dropped, and one that was read between the last look for open requests and the exit was cut as well.

Change: once the load balancer sends no more, no connection is accepted. A request has the time that is left; an action that could not use all of its time is refused as not run. What is still open shortly before the end is answered 504. A connection counts as open from its accept, so the process does not exit between accept and reading.

--- a/crates/guavacourse/src/edge/gateway/mod.rs
+++ b/crates/guavacourse/src/edge/gateway/mod.rs
@@ -20,7 +20,12 @@
 mod serve;
 mod stopping;
 
-use std::{net::SocketAddr, sync::Arc, thread, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
 
 use anyhow::Context;
 
@@ -161,16 +166,26 @@
 
     /// Stops gracefully: reports not ready, and serves callers until the load
     /// balancer has noticed, asking them to close their connections; then closes
-    /// idle connections and waits for open requests to finish.
+    /// idle connections, accepts no others, and waits for open requests to finish. Those that do not are
+    /// answered before the grace period ends.
     pub fn stop(self) {
         tracing::info!(instance = %self.config.instance, "the gateway is leaving");
-        self.stopping.begin();
         let delay = BALANCER_DELAY.min(self.config.grace / 2);
+        let left = self.config.grace.saturating_sub(delay);
+        let kept = left.mul_f64(SHUTDOWN_FRACTION);
+        let end = Instant::now() + self.config.grace.saturating_sub(kept);
+        self.stopping.begin(end);
         thread::sleep(delay);
         self.stopping.close_idle();
-        let left = self.config.grace.saturating_sub(delay);
-        self.stopping
-            .wait_idle(left.mul_f64(1.0 - SHUTDOWN_FRACTION));
+        let late = self.stopping.wait_idle(end);
+        if late > 0 {
+            tracing::warn!(late, "requests did not finish within the grace period");
+        }
+        self.stopping.expire();
+        let cut = self.stopping.wait_idle(Instant::now() + kept / 2);
+        if cut > 0 {
+            tracing::warn!(cut, "callers did not read the answers to their requests");
+        }
         drop(self.traffic);
         drop(self.control);
         tracing::info!(instance = %self.config.instance, "the gateway has stopped");
--- a/crates/guavacourse/src/edge/gateway/requests.rs
+++ b/crates/guavacourse/src/edge/gateway/requests.rs
@@ -2,6 +2,7 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
+use futures_lite::FutureExt;
 use http_types::{Request, Response};
 
 use super::{
@@ -52,7 +53,13 @@
         return CallerAnswer::NotFound;
     };
     let name = kind.rules.name.clone();
-    let time_limit = incoming.deadline.unwrap_or(kind.rules.deadline);
+    let mut time_limit = incoming.deadline.unwrap_or(kind.rules.deadline);
+    if let Some(departure) = traffic.stopping.departure() {
+        if !departure.takes(&kind.rules, time_limit) {
+            return CallerAnswer::not_run("this process is leaving; repeat elsewhere");
+        }
+        time_limit = time_limit.min(departure.left);
+    }
     let deadline = time_limit.saturating_sub(DELIVERY_MARGIN);
     let age = traffic.wait_times.borrow_mut().waited(&name, time_limit);
     let request = QueryRequest {
@@ -64,10 +71,17 @@
         age,
         only_services: Vec::new(),
     };
-    let answer = match delegate(traffic, &view, request).await {
-        Ok(answer) => answer,
-        Err(request) => run_locally(traffic, request).await,
+    let run = async {
+        match delegate(traffic, &view, request).await {
+            Ok(answer) => answer,
+            Err(request) => run_locally(traffic, request).await,
+        }
+    };
+    let expired = async {
+        traffic.stopping.wait_expired().await;
+        CallerAnswer::Late
     };
+    let answer = run.or(expired).await;
     let elapsed = traffic.clock.now().since(started);
     traffic
         .entry_metrics
--- a/crates/guavacourse/src/edge/gateway/serve.rs
+++ b/crates/guavacourse/src/edge/gateway/serve.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use futures_lite::FutureExt;
 use http_types::{Request, Response};
 use smol::{
     LocalExecutor,
@@ -132,13 +133,11 @@
             tasks: Tasks::default(),
         });
         let listeners = self.listeners;
+        let callers = accept(&traffic, &executor, listeners.callers, serve_callers);
+        let shutdown = traffic.stopping.shutdown.clone();
         let mut serving = vec![
-            executor.spawn(accept(
-                &traffic,
-                &executor,
-                listeners.callers,
-                serve_callers,
-            )),
+            // No connection is accepted whose request could be cut.
+            executor.spawn(callers.or(async move { shutdown.wait_ended().await })),
             executor.spawn(accept(
                 &traffic,
                 &executor,
@@ -228,8 +227,12 @@
         limits.idle_timeout = callers.idle;
     }
     drop(view);
+    // The first request counts as open from the start: the process must not exit between
+    // accepting a connection and reading its request.
+    let first = Cell::new(Some(traffic.stopping.track_request()));
     let handler = |request| {
-        let open = traffic.stopping.track_request();
+        let first = first.take();
+        let open = first.unwrap_or_else(|| traffic.stopping.track_request());
         let traffic = &traffic;
         async move {
             let mut response = requests::handle(traffic, request).await;
--- a/crates/guavacourse/src/edge/gateway/stopping.rs
+++ b/crates/guavacourse/src/edge/gateway/stopping.rs
@@ -2,42 +2,92 @@
 
 use std::{
     sync::{
-        Arc,
+        Arc, Mutex, PoisonError,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     thread,
     time::{Duration, Instant},
 };
 
-use crate::edge::http::Shutdown;
+use smol::channel::{Receiver, Sender, bounded};
+
+use crate::{edge::http::Shutdown, modules::departure::Departure};
 
 /// Interval between checks for open requests.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Progress of a gateway's shutdown. Clones share it.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct Stopping {
-    leaving: Arc<AtomicBool>,
+    /// When requests end that are still open, once the process is leaving.
+    end: Arc<Mutex<Option<Instant>>>,
+    /// Whether the load balancer no longer sends connections.
+    unrouted: Arc<AtomicBool>,
     /// Number of open requests of callers and peers.
     open_requests: Arc<AtomicUsize>,
+    /// Closed when open requests are to be answered as they are.
+    expire: Sender<()>,
+    expired: Receiver<()>,
     pub(super) shutdown: Shutdown,
 }
 
+impl Default for Stopping {
+    fn default() -> Self {
+        let (expire, expired) = bounded(1);
+        Self {
+            end: Arc::default(),
+            unrouted: Arc::default(),
+            open_requests: Arc::default(),
+            expire,
+            expired,
+            shutdown: Shutdown::default(),
+        }
+    }
+}
+
 impl Stopping {
     /// Reports not ready from now on, and asks callers to close their connections.
-    pub(super) fn begin(&self) {
-        self.leaving.store(true, Ordering::Relaxed);
+    /// Requests end at `end` at the latest.
+    pub(super) fn begin(&self, end: Instant) {
+        *self.end.lock().unwrap_or_else(PoisonError::into_inner) = Some(end);
         self.shutdown.announce();
     }
 
-    /// Closes idle connections.
+    /// Closes idle connections and accepts no others, because the load balancer no longer
+    /// sends any.
     pub(super) fn close_idle(&self) {
+        self.unrouted.store(true, Ordering::Relaxed);
         self.shutdown.end();
     }
 
+    /// Refuses requests from now on, and answers the open ones.
+    pub(super) fn expire(&self) {
+        self.expire.close();
+    }
+
+    /// Returns once open requests are to be answered as they are.
+    pub(super) async fn wait_expired(&self) {
+        // Nothing is ever sent; an error means that the channel was closed.
+        let _ = self.expired.recv().await;
+    }
+
     /// Returns whether the process is leaving.
     pub(super) fn leaving(&self) -> bool {
-        self.leaving.load(Ordering::Relaxed)
+        self.departure().is_some()
+    }
+
+    /// Returns how far the process is on its way out; `None` if it is not leaving.
+    pub(super) fn departure(&self) -> Option<Departure> {
+        let end = *self.end.lock().unwrap_or_else(PoisonError::into_inner);
+        let expired = self.expire.is_closed();
+        end.map(|end| Departure {
+            left: if expired {
+                Duration::ZERO
+            } else {
+                end.saturating_duration_since(Instant::now())
+            },
+            routed: !self.unrouted.load(Ordering::Relaxed),
+        })
     }
 
     /// Counts a request as open while the returned value lives.
@@ -45,19 +95,13 @@
         OpenRequest::new(&self.open_requests)
     }
 
-    /// Waits until no request is open, at most `timeout`.
-    pub(super) fn wait_idle(&self, timeout: Duration) {
-        let until = Instant::now() + timeout;
+    /// Waits until no request is open, at most until `until`. Returns the number of
+    /// requests that are still open.
+    pub(super) fn wait_idle(&self, until: Instant) -> usize {
         while self.open_requests.load(Ordering::Relaxed) > 0 && Instant::now() < until {
             thread::sleep(IDLE_CHECK_INTERVAL);
         }
-        let left = self.open_requests.load(Ordering::Relaxed);
-        if left > 0 {
-            tracing::warn!(
-                left,
-                "requests are aborted, because they did not finish within the grace period"
-            );
-        }
+        self.open_requests.load(Ordering::Relaxed)
     }
 }
 
--- a/crates/guavacourse/src/edge/http/server.rs
+++ b/crates/guavacourse/src/edge/http/server.rs
@@ -78,8 +78,8 @@
         self.announced.load(Ordering::Relaxed)
     }
 
-    /// Returns once the shutdown has ended.
-    async fn wait_ended(&self) {
+    /// Returns once idle connections are closed.
+    pub(crate) async fn wait_ended(&self) {
         // Nothing is ever sent; an error means that the channel was closed.
         let _ = self.ended.recv().await;
     }
