fix(admission): send nothing new to a leaf that says it leaves

What leaves saw: one that says in its answers that it leaves went on getting requests as long as the registry listed it as ready, so also while the registry was away.

Cause: no code read the header; leaving was known from the registry, from 421 and from the own protocol's answers only. A leaf that had said so was forgotten when its entry lapsed, and used again when the entry returned.

Change: the relay reads the header in each answer. From then on the leaf gets no first call, retry, hedge or call for a peer from this process; calls that run there end in peace. What was said holds for the incarnation that said it, also while it is not listed.

--- a/crates/guavacourse/src/edge/relay/dispatcher.rs
+++ b/crates/guavacourse/src/edge/relay/dispatcher.rs
@@ -323,6 +323,7 @@
 /// Logs a change in what a leaf asks for.
 fn log_leaf_event(event: &LeafEvent) {
     match event {
+        LeafEvent::Leaving { leaf } => tracing::info!(leaf, "a leaf says that it is leaving"),
         LeafEvent::Limited { leaf, total, own } => {
             tracing::info!(leaf, total, own, "a leaf limits its requests");
         }
--- a/crates/guavacourse/src/modules/admission.rs
+++ b/crates/guavacourse/src/modules/admission.rs
@@ -31,6 +31,7 @@
     catalog::{Catalog, LeafEntry, LeafId},
     cleared::ClearedContents,
     collections::{Map, Set},
+    departed::DepartedLeaves,
     inventory::{Address, Policy},
     leaf_health::Grant,
     quarantine::{Quarantine, Verdict},
@@ -56,6 +57,8 @@
     trial_leaves: Set<LeafId>,
     quarantine: Quarantine,
     findings: Findings,
+    /// Leaves that have said they are leaving, also while they are not listed.
+    departed: DepartedLeaves,
     /// Contents of canary calls and of forwarded calls that a leaf has recently run to
     /// completion.
     cleared: ClearedContents,
@@ -387,10 +390,14 @@
             self.refuse_waiting(leaf, NotRun::NotOwner);
             return self.drop_gate(leaf);
         };
-        let gate = self
-            .gates
-            .entry(leaf)
-            .or_insert_with(|| Gate::new(&entry.name, entry.address, service.slots));
+        let departed = self.departed.incarnation(leaf);
+        let gate = self.gates.entry(leaf).or_insert_with(|| {
+            let mut gate = Gate::new(&entry.name, entry.address, service.slots);
+            if let Some(departed) = departed {
+                gate.drain(departed);
+            }
+            gate
+        });
         let mut address_changed = false;
         if gate.address != entry.address {
             gate.address = entry.address;
--- a/crates/guavacourse/src/modules/admission/gate.rs
+++ b/crates/guavacourse/src/modules/admission/gate.rs
@@ -227,6 +227,15 @@
         self.listed_incarnation = incarnation;
     }
 
+    /// Records that the leaf is draining, in the incarnation that the instance list gives
+    /// (0 if it gives none).
+    pub(super) fn drain(&mut self, listed: u64) {
+        self.draining = true;
+        self.past_incarnations.push(listed);
+        self.past_incarnations
+            .retain(|past| *past != 0 && *past != self.incarnation);
+    }
+
     /// Starts a new incarnation (0 if not known yet) and resets the state that
     /// belonged to the previous one.
     pub(super) fn reset(&mut self, incarnation: u64) {
--- a/crates/guavacourse/src/modules/admission/notices.rs
+++ b/crates/guavacourse/src/modules/admission/notices.rs
@@ -120,12 +120,27 @@
             return;
         };
         let leaf = job.call.leaf;
+        if notice.leaving {
+            self.leave_leaf(leaf);
+        }
         match notice.limit {
             Some(total) => self.set_limit(leaf, total, now),
             None => self.end_limit(leaf, since),
         }
     }
 
+    /// Sends nothing more to a leaf that says it is leaving, until its next incarnation.
+    fn leave_leaf(&mut self, leaf: LeafId) {
+        let Some(gate) = self.gates.get_mut(&leaf).filter(|gate| !gate.draining) else {
+            return;
+        };
+        let name = gate.name.clone();
+        self.steps
+            .push(Step::Note(LeafEvent::Leaving { leaf: name }));
+        self.mark_draining(leaf);
+        self.refuse_waiting(leaf, NotRun::Draining);
+    }
+
     /// Starts or changes the limit of a leaf.
     fn set_limit(&mut self, leaf: LeafId, total: f64, now: Time) {
         let Some(gate) = self.gates.get_mut(&leaf) else {
--- a/crates/guavacourse/src/modules/admission/outcome.rs
+++ b/crates/guavacourse/src/modules/admission/outcome.rs
@@ -208,23 +208,24 @@
             Outcome::NotRun(NotRun::Shed) => gate.limit.record_shed(),
             _ => {}
         }
-        if answer.draining && !gate.draining {
-            gate.draining = true;
-            gate.past_incarnations.push(
-                self.view
-                    .incarnations
-                    .get(&leaf)
-                    .copied()
-                    .unwrap_or_default(),
-            );
-            gate.past_incarnations
-                .retain(|past| *past != 0 && *past != gate.incarnation);
-        }
-        if gate.leaving() {
+        if answer.draining {
+            self.mark_draining(leaf);
+        }
+        if self.gates.get(&leaf).is_some_and(Gate::leaving) {
             self.refuse_waiting(leaf, NotRun::Draining);
         }
     }
 
+    /// Records that a leaf is draining in its current incarnation.
+    pub(super) fn mark_draining(&mut self, leaf: LeafId) {
+        let Some(gate) = self.gates.get_mut(&leaf).filter(|gate| !gate.draining) else {
+            return;
+        };
+        let listed = self.view.incarnations.get(&leaf).copied();
+        gate.drain(listed.unwrap_or_default());
+        self.departed.add(leaf, listed.unwrap_or_default());
+    }
+
     /// Records a call that timed out. It counts as a failure only if it took far
     /// longer than expected.
     fn record_timeout(&mut self, job: &Job, took: Duration, now: Time) {
--- a/crates/guavacourse/src/modules/mod.rs
+++ b/crates/guavacourse/src/modules/mod.rs
@@ -21,6 +21,7 @@
 pub mod crash_evidence;
 pub mod delegation;
 pub mod delta;
+pub mod departed;
 pub mod departure;
 pub mod directory;
 pub mod exposure;
--- a/crates/guavacourse/tests/admission/harness.rs
+++ b/crates/guavacourse/tests/admission/harness.rs
@@ -129,6 +129,21 @@
         self.publish();
     }
 
+    /// Removes a leaf from the configuration and returns it.
+    pub fn remove_leaf(&mut self, name: &str) -> Leaf {
+        let leaves = &mut self.config.services[0].leaves;
+        let found = leaves.iter().position(|entry| entry.name == name);
+        let leaf = leaves.remove(found.unwrap());
+        self.publish();
+        leaf
+    }
+
+    /// Adds a leaf to the configuration.
+    pub fn add_leaf(&mut self, leaf: Leaf) {
+        self.config.services[0].leaves.push(leaf);
+        self.publish();
+    }
+
     /// Advances the clock.
     pub fn advance(&mut self, millis: u64) {
         self.now = self.now.after(Duration::from_millis(millis));
--- a/crates/guavacourse/tests/admission/notices.rs
+++ b/crates/guavacourse/tests/admission/notices.rs
@@ -7,7 +7,10 @@
 use super::harness::{Harness, call};
 
 fn limited(total: f64) -> LeafNotice {
-    LeafNotice { limit: Some(total) }
+    LeafNotice {
+        limit: Some(total),
+        ..LeafNotice::default()
+    }
 }
 
 /// Answers an attempt with a notice.
@@ -154,3 +157,54 @@
     harness.submit(&call(3));
     assert!(harness.take_steps().starts_with("dispatch 3"));
 }
+
+/// Has a leaf of incarnation 5 say that it is leaving.
+fn leaving() -> Harness {
+    let mut harness = Harness::new();
+    harness.view.incarnations.insert(LeafId::of("a"), 5);
+    harness.publish();
+    for attempt in 1..4 {
+        harness.submit(&call(attempt));
+    }
+    harness.take_steps();
+    let notice = LeafNotice {
+        leaving: true,
+        ..LeafNotice::default()
+    };
+    answer(&mut harness, 1, notice);
+    harness
+}
+
+#[test]
+fn a_leaf_that_leaves_gets_no_new_call_and_ends_the_others() {
+    let mut harness = leaving();
+    harness.submit(&call(4));
+    insta::assert_snapshot!(harness.take_steps(), @r#"
+    note Leaving { leaf: "a" }
+    deliver 3: not run: Draining
+    deliver 1: rows
+    deliver 4: not run: Draining
+    "#);
+    harness.answer(2);
+    insta::assert_snapshot!(harness.take_steps(), @r"
+    deliver 2: rows
+    close 2 kept to a
+    ");
+}
+
+#[test]
+fn a_leaf_that_leaves_stays_out_when_its_entry_returns() {
+    let mut harness = leaving();
+    harness.answer(2);
+    harness.take_steps();
+    let leaf = harness.remove_leaf("a");
+    harness.admission.closed(LeafId::of("a"), harness.now);
+    harness.admission.closed(LeafId::of("a"), harness.now);
+    harness.add_leaf(leaf.clone());
+    harness.submit(&call(4));
+    assert_eq!(harness.take_steps(), "deliver 4: not run: Draining");
+    harness.view.incarnations.insert(LeafId::of("a"), 6);
+    harness.publish();
+    harness.submit(&call(5));
+    assert!(harness.take_steps().contains("dispatch 5"));
+}
