fix(admission): leave a leaf alone for as long as it asks

What leaves saw: one that turned a request away with 503 and Retry-After got the next ones in that time: 6 in a pause of 0.8 s, from 0.5 s on, where 2 are allowed. Callers whose leaves all paused waited for a retry instead of being told when to come back.

Cause: no code read the header of a leaf's answer.

Change: a leaf that asks for a pause gets nothing from this process until it is over, ten minutes at most; waiting and new calls are refused before they are sent, with the time left. After the pause one call at a time goes there until one is answered; its end is spread, so that not all processes return at once. The pause belongs to the incarnation that asked.

--- a/crates/guavacourse/schema/wire.capnp
+++ b/crates/guavacourse/schema/wire.capnp
@@ -139,7 +139,8 @@
     # The leaf does not hold the pinned version or epoch.
     elsewhere @6 :Snapshot;
   }
-  # Time after which a deferred call may be sent again.
+  # Time after which the leaf, which did not run the call, takes the next one; 0 if it
+  # asked for nothing.
   retryMicros @7 :UInt64;
 }
 
--- a/crates/guavacourse/src/edge/relay/dispatcher.rs
+++ b/crates/guavacourse/src/edge/relay/dispatcher.rs
@@ -27,6 +27,7 @@
         collections::Map,
         crash_evidence::Finding,
         leaf_notice::LeafEvent,
+        line_budget::{LineBudget, LineDecision},
         thread_assignment::ThreadAssignment,
         time::Time,
         view::View,
@@ -59,6 +60,8 @@
     leaving: Cell<bool>,
     /// Wakes the timer's task before it is due.
     timer_reset: (channel::Sender<()>, channel::Receiver<()>),
+    /// Limits the log lines about what leaves ask for.
+    event_lines: RefCell<LineBudget>,
 }
 
 impl Dispatcher {
@@ -84,6 +87,7 @@
             timer_due: Cell::new(Time::MAX),
             leaving: Cell::new(false),
             timer_reset: channel::bounded(1),
+            event_lines: RefCell::default(),
         })
     }
 
@@ -233,7 +237,7 @@
             Step::Deliver(session, reply) => self.deliver(session, reply),
             Step::Quarantine { content, then } => self.announce_quarantine(content, then),
             Step::Report(finding) => (self.on_finding)(finding),
-            Step::Note(event) => log_leaf_event(&event),
+            Step::Note(event) => self.log_leaf_event(&event),
         }
     }
 
@@ -280,6 +284,17 @@
         });
     }
 
+    /// Logs a change in what a leaf asks for, within a limit on such lines.
+    fn log_leaf_event(&self, event: &LeafEvent) {
+        let decision = self.event_lines.borrow_mut().count(self.clock.now());
+        if let LineDecision::Write { left_out } = decision {
+            if left_out > 0 {
+                tracing::info!(left_out, "log lines about leaves were left out");
+            }
+            write_leaf_event(event);
+        }
+    }
+
     fn deliver(&self, session: SessionId, reply: Reply) {
         if let Some(outbox) = self.outboxes.borrow().get(&session) {
             outbox.push(reply);
@@ -320,8 +335,8 @@
     tracing::warn!("the relay stops although {pending}; check for a hung process");
 }
 
-/// Logs a change in what a leaf asks for.
-fn log_leaf_event(event: &LeafEvent) {
+/// Writes a change in what a leaf asks for to the log.
+fn write_leaf_event(event: &LeafEvent) {
     match event {
         LeafEvent::Leaving { leaf } => tracing::info!(leaf, "a leaf says that it is leaving"),
         LeafEvent::Limited { leaf, total, own } => {
@@ -330,6 +345,14 @@
         LeafEvent::Unlimited { leaf } => {
             tracing::info!(leaf, "a leaf no longer limits its requests");
         }
+        LeafEvent::Paused { leaf, pause } => {
+            tracing::info!(leaf, ?pause, "a leaf wants no requests for a while");
+        }
+        LeafEvent::Resumed { leaf } => tracing::info!(leaf, "the pause of a leaf is over"),
+        LeafEvent::Malformed { leaf } => tracing::warn!(
+            leaf,
+            "a leaf sends a limit or a pause that is not a number; it is ignored"
+        ),
     }
 }
 
--- a/crates/guavacourse/src/edge/wire.rs
+++ b/crates/guavacourse/src/edge/wire.rs
@@ -75,6 +75,7 @@
         out.set_attempt(reply.attempt.0);
         out.set_queued(reply.queued);
         out.set_service_micros(micros(reply.service));
+        out.set_retry_micros(micros(reply.retry_after));
         match &reply.outcome {
             Outcome::Rows(rows) => write_rows(out.init_rows(), rows),
             Outcome::NotRun(reason) => out.set_not_run(not_run_to_wire(*reason)),
--- a/crates/guavacourse/src/modules/admission.rs
+++ b/crates/guavacourse/src/modules/admission.rs
@@ -34,6 +34,7 @@
     departed::DepartedLeaves,
     inventory::{Address, Policy},
     leaf_health::Grant,
+    leaf_notice::LeafEvent,
     quarantine::{Quarantine, Verdict},
     time::Time,
     view::View,
@@ -357,8 +358,11 @@
             gate.kept -= 1;
         }
         gate.busy += 1;
-        gate.use_permit(now);
+        let resumes = gate.count_start(now);
         self.counts.dispatched += 1;
+        if resumes {
+            self.note(leaf, |leaf| LeafEvent::Resumed { leaf });
+        }
         self.steps.push(Step::Dispatch {
             job: key,
             new_connection,
--- a/crates/guavacourse/src/modules/admission/gate.rs
+++ b/crates/guavacourse/src/modules/admission/gate.rs
@@ -7,7 +7,7 @@
 
 use super::{
     job::{JobKey, KindId, Rank, SessionId},
-    notices::NamedLimit,
+    notices::{NamedLimit, Pause},
 };
 use crate::modules::{
     call::Reply,
@@ -73,6 +73,8 @@
     pub(super) past_incarnations: Vec<u64>,
     /// Limit that the leaf named for its calls.
     pub(super) named_limit: Option<NamedLimit>,
+    /// Pause that the leaf asked for.
+    pub(super) pause: Option<Pause>,
     /// Whether the leaf, in its current incarnation, reported that it is draining.
     pub(super) draining: bool,
     /// Whether the instance list reports the leaf as leaving.
@@ -113,6 +115,7 @@
             listed_incarnation: 0,
             past_incarnations: Vec::new(),
             named_limit: None,
+            pause: None,
             draining: false,
             listed_leaving: false,
             state: LeafState::Serving,
@@ -142,6 +145,9 @@
     }
 
     fn allowed(&self, now: Time) -> u32 {
+        if self.pause.is_some() {
+            return 1;
+        }
         match self.health.grant(now) {
             Grant::Full => self.limit.allowed(),
             Grant::Single => 1,
@@ -223,6 +229,7 @@
     pub(super) fn listed(&mut self, incarnation: u64) {
         if self.listed_incarnation != 0 && self.listed_incarnation != incarnation {
             self.named_limit = None;
+            self.pause = None;
         }
         self.listed_incarnation = incarnation;
     }
@@ -250,6 +257,7 @@
         self.incarnation = incarnation;
         self.draining = false;
         self.named_limit = None;
+        self.pause = None;
         self.limit.reset();
         self.service_times.clear();
     }
--- a/crates/guavacourse/src/modules/admission/notices.rs
+++ b/crates/guavacourse/src/modules/admission/notices.rs
@@ -10,7 +10,7 @@
 use crate::modules::{
     call::{NotRun, Outcome},
     catalog::LeafId,
-    leaf_notice::{LeafEvent, LeafNotice},
+    leaf_notice::{LeafEvent, LeafNotice, MAX_PAUSE},
     ownership::mix,
     rate_limit::RateLimit,
     shares::LeafShare,
@@ -30,6 +30,10 @@
 const MIN_UNCONFIRMED: Duration = Duration::from_secs(10);
 const MAX_UNCONFIRMED: Duration = Duration::from_mins(10);
 
+/// Fraction of a pause, and longest time, over which its end is spread.
+const PAUSE_SPREAD: f64 = 0.1;
+const MAX_PAUSE_SPREAD: Duration = Duration::from_millis(250);
+
 /// A limit that a leaf named in its answers.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct NamedLimit {
@@ -90,15 +94,37 @@
     }
 }
 
+/// A pause that a leaf asked for. It lasts until the leaf answers a call after its end.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Pause {
+    /// When the leaf last asked for it.
+    asked: Time,
+    /// Until when the leaf wants no calls.
+    until: Time,
+    /// Whether a call was sent after its end.
+    resumed: bool,
+}
+
 impl Gate {
     /// Returns when the leaf takes the next call; `None` if it takes one now.
     pub(super) fn opens_at(&self, now: Time) -> Option<Time> {
-        let next = self.named_limit.map(|limit| limit.opens_at());
-        next.filter(|next| *next > now)
+        let limit = self.named_limit.map(|limit| limit.opens_at());
+        let pause = self.pause.map(|pause| pause.until);
+        limit.max(pause).filter(|next| *next > now)
     }
 
-    /// Counts a call that starts now.
-    pub(super) fn use_permit(&mut self, now: Time) {
+    /// Counts a call that starts now. Returns whether it is the first after a pause.
+    pub(super) fn count_start(&mut self, now: Time) -> bool {
+        self.use_permit(now);
+        let pause = self.pause.as_mut().filter(|pause| !pause.resumed);
+        let Some(pause) = pause else {
+            return false;
+        };
+        pause.resumed = true;
+        true
+    }
+
+    fn use_permit(&mut self, now: Time) {
         let Some(limit) = &mut self.named_limit else {
             return;
         };
@@ -120,9 +146,16 @@
             return;
         };
         let leaf = job.call.leaf;
+        if notice.malformed {
+            self.note(leaf, |leaf| LeafEvent::Malformed { leaf });
+        }
         if notice.leaving {
             self.leave_leaf(leaf);
         }
+        match notice.pause {
+            Some(pause) => self.start_pause(leaf, pause, now),
+            None => self.end_pause(leaf, since),
+        }
         match notice.limit {
             Some(total) => self.set_limit(leaf, total, now),
             None => self.end_limit(leaf, since),
@@ -131,16 +164,57 @@
 
     /// Sends nothing more to a leaf that says it is leaving, until its next incarnation.
     fn leave_leaf(&mut self, leaf: LeafId) {
-        let Some(gate) = self.gates.get_mut(&leaf).filter(|gate| !gate.draining) else {
+        if self.gates.get(&leaf).is_none_or(|gate| gate.draining) {
             return;
-        };
-        let name = gate.name.clone();
-        self.steps
-            .push(Step::Note(LeafEvent::Leaving { leaf: name }));
+        }
+        self.note(leaf, |leaf| LeafEvent::Leaving { leaf });
         self.mark_draining(leaf);
         self.refuse_waiting(leaf, NotRun::Draining);
     }
 
+    /// Sends nothing to a leaf that wants no calls, until its pause is over. The end
+    /// differs a little between processes and pauses, so that not all return at once.
+    #[allow(clippy::cast_precision_loss, reason = "the result is a fraction")]
+    fn start_pause(&mut self, leaf: LeafId, pause: Duration, now: Time) {
+        let draw = mix(leaf.0 ^ now.0) as f64 / u64::MAX as f64;
+        let pause = pause.min(MAX_PAUSE);
+        let spread = pause.mul_f64(PAUSE_SPREAD).min(MAX_PAUSE_SPREAD);
+        let until = now.after(pause + spread.mul_f64(draw));
+        let Some(gate) = self.gates.get_mut(&leaf) else {
+            return;
+        };
+        let known = gate.pause.replace(Pause {
+            asked: now,
+            until,
+            resumed: false,
+        });
+        if known.is_none_or(|known| known.resumed) {
+            self.note(leaf, |leaf| LeafEvent::Paused { leaf, pause });
+        }
+        self.defer_waiting(leaf, now);
+    }
+
+    /// Ends the pause of a leaf that answers a call which was sent after the pause. An
+    /// answer to an earlier call says nothing about it.
+    fn end_pause(&mut self, leaf: LeafId, sent: Time) {
+        let Some(gate) = self.gates.get_mut(&leaf) else {
+            return;
+        };
+        if gate
+            .pause
+            .is_some_and(|pause| sent >= pause.until.max(pause.asked))
+        {
+            gate.pause = None;
+        }
+    }
+
+    /// Adds a step that logs what a leaf asks for.
+    pub(super) fn note(&mut self, leaf: LeafId, event: impl FnOnce(String) -> LeafEvent) {
+        if let Some(gate) = self.gates.get(&leaf) {
+            self.steps.push(Step::Note(event(gate.name.clone())));
+        }
+    }
+
     /// Starts or changes the limit of a leaf.
     fn set_limit(&mut self, leaf: LeafId, total: f64, now: Time) {
         let Some(gate) = self.gates.get_mut(&leaf) else {
@@ -158,11 +232,8 @@
             return limit.confirm(draw, now);
         }
         gate.named_limit = Some(NamedLimit::new(total, share, draw, now));
-        self.steps.push(Step::Note(LeafEvent::Limited {
-            leaf: gate.name.clone(),
-            total,
-            own: total * share.fraction,
-        }));
+        let own = total * share.fraction;
+        self.note(leaf, |leaf| LeafEvent::Limited { leaf, total, own });
         self.defer_waiting(leaf, now);
     }
 
@@ -174,8 +245,7 @@
         };
         if gate.named_limit.is_some_and(|limit| sent > limit.named) {
             gate.named_limit = None;
-            let leaf = gate.name.clone();
-            self.steps.push(Step::Note(LeafEvent::Unlimited { leaf }));
+            self.note(leaf, |leaf| LeafEvent::Unlimited { leaf });
         }
     }
 
@@ -194,13 +264,18 @@
     /// Refuses a call to a leaf that takes none now, and says when it takes the next.
     pub(super) fn defer(&mut self, job: &Job, now: Time) {
         self.counts.refused += 1;
-        let gate = self.gates.get(&job.call.leaf);
-        let opens = gate.and_then(|gate| gate.opens_at(now));
         let mut reply = self.reply_to(job, Outcome::NotRun(NotRun::Deferred), Duration::ZERO);
-        reply.retry_after = opens.map_or(Duration::ZERO, |opens| opens.left(now));
+        reply.retry_after = self.opens_in(job.call.leaf, now);
         self.steps.push(Step::Deliver(job.session, reply));
     }
 
+    /// Returns the time until a leaf takes the next call; zero if it takes one now.
+    pub(super) fn opens_in(&self, leaf: LeafId, now: Time) -> Duration {
+        let gate = self.gates.get(&leaf);
+        let opens = gate.and_then(|gate| gate.opens_at(now));
+        opens.map_or(Duration::ZERO, |opens| opens.left(now))
+    }
+
     /// Refuses all calls that wait for a leaf which takes none now.
     pub(super) fn defer_waiting(&mut self, leaf: LeafId, now: Time) {
         for key in self.waiting_calls(leaf) {
--- a/crates/guavacourse/src/modules/admission/outcome.rs
+++ b/crates/guavacourse/src/modules/admission/outcome.rs
@@ -53,7 +53,10 @@
         self.record_canary(&job, ending, now);
         self.record_completion(&job, ending, now);
         if wanted {
-            let reply = self.reply_to(&job, ending.outcome(), took);
+            let mut reply = self.reply_to(&job, ending.outcome(), took);
+            if matches!(reply.outcome, Outcome::NotRun(_)) {
+                reply.retry_after = self.opens_in(job.call.leaf, now);
+            }
             self.deliver_or_hold(&job, ending, reply);
         } else {
             self.counts.late += 1;
--- a/crates/guavacourse/src/modules/call.rs
+++ b/crates/guavacourse/src/modules/call.rs
@@ -102,7 +102,8 @@
     pub queued: u32,
     /// Time that the leaf took.
     pub service: Duration,
-    /// Time after which a deferred call may be sent again; zero for any other.
+    /// Time after which the leaf, which did not run the call, takes the next one; zero if
+    /// it asked for nothing.
     pub retry_after: Duration,
     /// How the attempt ended.
     pub outcome: Outcome,
--- a/crates/guavacourse/src/modules/leaf_notice.rs
+++ b/crates/guavacourse/src/modules/leaf_notice.rs
@@ -1,5 +1,10 @@
 //! What leaves say about themselves in their answers, besides the answer.
 
+use std::time::Duration;
+
+/// Longest pause that is kept to; of a longer one, so much.
+pub const MAX_PAUSE: Duration = Duration::from_mins(10);
+
 /// The notice in one answer of a leaf.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct LeafNotice {
@@ -7,6 +12,10 @@
     pub leaving: bool,
     /// Calls a second that the leaf takes from the whole fleet, if it limits them.
     pub limit: Option<f64>,
+    /// Time for which the leaf wants no calls, if it turned this one away.
+    pub pause: Option<Duration>,
+    /// Whether it said something that cannot be read.
+    pub malformed: bool,
 }
 
 /// A change in what a leaf asks for, for the log of the process.
@@ -31,4 +40,21 @@
         /// Its name.
         leaf: String,
     },
+    /// It wants no calls for a while.
+    Paused {
+        /// Its name.
+        leaf: String,
+        /// For how long.
+        pause: Duration,
+    },
+    /// Its pause is over, and it gets one call.
+    Resumed {
+        /// Its name.
+        leaf: String,
+    },
+    /// It said something that cannot be read and is ignored.
+    Malformed {
+        /// Its name.
+        leaf: String,
+    },
 }
--- a/crates/guavacourse/src/modules/load_balancer.rs
+++ b/crates/guavacourse/src/modules/load_balancer.rs
@@ -372,8 +372,8 @@
                 stats.record_newest(rows.newest.max(rows.version), now);
             }
             Outcome::Elsewhere(held) => stats.record_versions(held.oldest, held.newest, now),
-            Outcome::NotRun(NotRun::Deferred) => stats.close(now.after(reply.retry_after)),
             Outcome::NotRun(why) => {
+                stats.close(now.after(reply.retry_after));
                 overloaded = matches!(why, NotRun::Shed | NotRun::QueueFull);
                 if blames_leaf(*why, attempt.cause) && !link_failed {
                     stats.fail(now);
--- a/crates/guavacourse/tests/admission/notices.rs
+++ b/crates/guavacourse/tests/admission/notices.rs
@@ -2,9 +2,11 @@
 
 use std::{collections::HashSet, time::Duration};
 
-use guavacourse::modules::{catalog::LeafId, leaf_notice::LeafNotice, shares::Shares, time::Time};
+use guavacourse::modules::{
+    call::NotRun, catalog::LeafId, leaf_notice::LeafNotice, shares::Shares, time::Time,
+};
 
-use super::harness::{Harness, call};
+use super::harness::{Harness, call, refused};
 
 fn limited(total: f64) -> LeafNotice {
     LeafNotice {
@@ -208,3 +210,116 @@
     harness.submit(&call(5));
     assert!(harness.take_steps().contains("dispatch 5"));
 }
+
+fn pausing(millis: u64) -> LeafNotice {
+    LeafNotice {
+        pause: Some(Duration::from_millis(millis)),
+        ..LeafNotice::default()
+    }
+}
+
+/// Refuses an attempt with a notice.
+fn refuse(harness: &mut Harness, attempt: u64, notice: LeafNotice) {
+    let key = harness.job_key(attempt);
+    harness.admission.notice(key, notice, harness.now);
+    harness.end(attempt, &refused(NotRun::Shed, 0, false));
+}
+
+/// Has a leaf turn a call away and ask for a pause of a second.
+fn paused() -> Harness {
+    let mut harness = Harness::new();
+    for attempt in 1..4 {
+        harness.submit(&call(attempt));
+    }
+    harness.take_steps();
+    refuse(&mut harness, 1, pausing(1_000));
+    harness
+}
+
+#[test]
+fn a_pause_defers_waiting_and_new_calls() {
+    let mut harness = paused();
+    harness.submit(&call(4));
+    insta::assert_snapshot!(harness.take_steps(), @r#"
+    note Paused { leaf: "a", pause: 1s }
+    deliver 3: not run: Deferred
+    deliver 1: not run: Shed
+    deliver 4: not run: Deferred
+    "#);
+    let left = harness.retry_after.expect("deferred");
+    let bounds = Duration::from_secs(1)..=Duration::from_millis(1_100);
+    assert!(bounds.contains(&left), "{left:?}");
+}
+
+#[test]
+fn an_answer_to_an_earlier_call_does_not_end_a_pause() {
+    let mut harness = paused();
+    answer(&mut harness, 2, LeafNotice::default());
+    harness.take_steps();
+    harness.submit(&call(4));
+    assert_eq!(harness.take_steps(), "deliver 4: not run: Deferred");
+}
+
+#[test]
+fn one_call_at_a_time_goes_to_a_leaf_after_its_pause() {
+    let mut harness = paused();
+    harness.answer(2);
+    harness.take_steps();
+    harness.advance(1_101);
+    for attempt in 4..7 {
+        harness.submit(&call(attempt));
+    }
+    insta::assert_snapshot!(harness.take_steps(), @r#"
+    note Resumed { leaf: "a" }
+    dispatch 4 on a kept connection
+    "#);
+    answer(&mut harness, 4, LeafNotice::default());
+    insta::assert_snapshot!(harness.take_steps(), @r"
+    deliver 4: rows
+    dispatch 5 on a kept connection
+    ");
+}
+
+#[test]
+fn a_leaf_may_ask_for_another_pause() {
+    let mut harness = paused();
+    harness.answer(2);
+    harness.take_steps();
+    harness.advance(1_101);
+    harness.submit(&call(4));
+    harness.take_steps();
+    refuse(&mut harness, 4, pausing(500));
+    insta::assert_snapshot!(harness.take_steps(), @r#"
+    note Paused { leaf: "a", pause: 500ms }
+    deliver 4: not run: Shed
+    "#);
+    harness.advance(499);
+    harness.submit(&call(5));
+    assert_eq!(harness.take_steps(), "deliver 5: not run: Deferred");
+}
+
+#[test]
+fn a_long_pause_is_capped() {
+    let mut harness = Harness::new();
+    harness.submit(&call(1));
+    harness.take_steps();
+    refuse(&mut harness, 1, pausing(86_400_000));
+    harness.advance(10 * 60 * 1_000 + 251);
+    harness.submit(&call(2));
+    assert!(harness.take_steps().contains("dispatch 2"));
+}
+
+#[test]
+fn a_new_incarnation_inherits_no_pause() {
+    let mut harness = Harness::new();
+    harness.view.incarnations.insert(LeafId::of("a"), 1);
+    harness.publish();
+    harness.submit(&call(1));
+    harness.take_steps();
+    refuse(&mut harness, 1, pausing(60_000));
+    harness.take_steps();
+    harness.view.incarnations.insert(LeafId::of("a"), 2);
+    harness.publish();
+    harness.submit(&call(2));
+    assert!(harness.take_steps().contains("dispatch 2"));
+}
