fix(crash-evidence): count the crashes of a leaf's incarnations

A leaf that crashed may start again under its name. Its crashes counted as one, so a service of two such leaves never proved that a request crashes leaves: three names were needed. A crash is told apart by name and start now, in the evidence and in the registry's key.

--- a/crates/guavacourse/src/edge/gateway/registry.rs
+++ b/crates/guavacourse/src/edge/gateway/registry.rs
@@ -5,7 +5,7 @@
 use thiserror::Error;
 
 use crate::modules::{
-    crash_evidence::CrashReport,
+    crash_evidence::{CrashReport, CrashedLeaf},
     directory::{FirstReading, RegistryReading},
 };
 
@@ -46,7 +46,7 @@
     fn retract_crashes(
         &self,
         content: u64,
-        leaves: &[String],
+        leaves: &[CrashedLeaf],
     ) -> impl Future<Output = Result<(), RegistryError>>;
 
     /// Registers this process, or renews its registration. `removed` says that the
--- a/crates/guavacourse/src/modules/admission/findings.rs
+++ b/crates/guavacourse/src/modules/admission/findings.rs
@@ -6,7 +6,7 @@
 use crate::modules::{
     catalog::LeafId,
     collections::Set,
-    crash_evidence::{CrashReport, Finding, REPORT_DELAY},
+    crash_evidence::{CrashReport, CrashedLeaf, Finding, REPORT_DELAY},
     time::Time,
 };
 
@@ -45,8 +45,10 @@
         for dropped in calls.iter().filter(|call| call.forwarded) {
             let report = CrashReport {
                 content: dropped.call.fingerprint,
-                leaf: gate.name.clone(),
-                born: listed.copied().unwrap_or_default(),
+                leaf: CrashedLeaf {
+                    name: gate.name.clone(),
+                    born: listed.copied().unwrap_or_default(),
+                },
                 alone: dropped.call.alone,
             };
             if report.alone {
--- a/crates/guavacourse/src/modules/crash_evidence.rs
+++ b/crates/guavacourse/src/modules/crash_evidence.rs
@@ -26,16 +26,24 @@
 /// Maximum number of contents with reports; the oldest is evicted.
 const MAX_CONTENTS: usize = 1_024;
 
-/// A leaf that crashed while it ran a request.
+/// A leaf that crashed. It may start again under its name, as another incarnation.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct CrashedLeaf {
+    /// Its name.
+    pub name: String,
+    /// Its incarnation; 0 if that is not known.
+    pub born: u64,
+}
+
+/// A crash of a leaf while it ran a request.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
 pub struct CrashReport {
     /// Fingerprint of the request's content.
     pub content: u64,
-    /// Name of the leaf.
-    pub leaf: String,
-    /// Incarnation of the leaf; 0 if it is not known.
-    pub born: u64,
+    /// The leaf.
+    pub leaf: CrashedLeaf,
     /// Whether the leaf ran nothing else.
     pub alone: bool,
 }
@@ -61,7 +69,7 @@
 #[derive(Clone, Debug)]
 struct Reports {
     /// Reports by leaf.
-    crashes: Map<String, CrashReport>,
+    crashes: Map<CrashedLeaf, CrashReport>,
     /// When the first report arrived.
     since: Time,
     /// When the quarantine ends, if there is one.
@@ -93,7 +101,7 @@
 
     /// Removes the report about a leaf, unless the content is quarantined. Returns
     /// whether there was one.
-    pub fn remove(&mut self, content: u64, leaf: &str) -> bool {
+    pub fn remove(&mut self, content: u64, leaf: &CrashedLeaf) -> bool {
         let Some(reports) = self.contents.get_mut(&content) else {
             return false;
         };
@@ -146,10 +154,10 @@
 
     /// Returns the leaves that crashed under a content.
     #[must_use]
-    pub fn leaves(&self, content: u64) -> Vec<String> {
+    pub fn leaves(&self, content: u64) -> Vec<CrashedLeaf> {
         let reports = self.contents.get(&content);
         let leaves = reports.into_iter().flat_map(|r| r.crashes.keys());
-        let mut leaves: Vec<String> = leaves.cloned().collect();
+        let mut leaves: Vec<CrashedLeaf> = leaves.cloned().collect();
         leaves.sort_unstable();
         leaves
     }
--- a/crates/guavacourse/src/modules/directory.rs
+++ b/crates/guavacourse/src/modules/directory.rs
@@ -18,7 +18,7 @@
 use super::{
     catalog::{Catalog, LeafId},
     collections::{Map, Set},
-    crash_evidence::{CrashEvidence, CrashReport},
+    crash_evidence::{CrashEvidence, CrashReport, CrashedLeaf},
     delegation::MIN_SHARDS,
     inventory::{Config, DataCentre, Format, Leaf, LeafState, Service},
     keys::KEY_SPACE,
@@ -396,7 +396,7 @@
     }
 
     /// Forgets a crash of a leaf. Returns whether it was known.
-    fn forget_crash(&mut self, content: u64, leaf: String) -> bool {
+    fn forget_crash(&mut self, content: u64, leaf: CrashedLeaf) -> bool {
         let known = self.crashes.remove(content, &leaf);
         if known {
             self.changes.push(Change::CrashGone { content, leaf });
--- a/crates/guavacourse/src/modules/directory/records.rs
+++ b/crates/guavacourse/src/modules/directory/records.rs
@@ -4,7 +4,7 @@
 
 use crate::modules::{
     collections::Map,
-    crash_evidence::CrashReport,
+    crash_evidence::{CrashReport, CrashedLeaf},
     inventory::{Address, CallerLimits, Kind},
     members::{Member, MemberState},
 };
@@ -65,8 +65,8 @@
     CrashGone {
         /// Fingerprint of the request's content.
         content: u64,
-        /// Name of the leaf.
-        leaf: String,
+        /// The leaf.
+        leaf: CrashedLeaf,
     },
     /// An entry cannot be read.
     Unreadable {
@@ -160,7 +160,7 @@
         /// Its fingerprint.
         content: u64,
         /// The leaves.
-        leaves: Vec<String>,
+        leaves: Vec<CrashedLeaf>,
     },
     /// An entry cannot be read; reported again only if its fault changes.
     Unreadable {
