feat(gateway): count what leaves ask for; say how long content is refused

The metric leaf_notices counts what leaves ask for, by kind. A request whose content is quarantined is told to come back after the quarantine, and not in some 100 ms, after which it was refused again.

--- a/crates/guavacourse/src/edge/gateway/requests.rs
+++ b/crates/guavacourse/src/edge/gateway/requests.rs
@@ -15,6 +15,7 @@
     edge::entry::QueryRunner,
     modules::{
         answer::{Answer, AnswerRows, Failure, Reason, Refusal},
+        quarantine::QUARANTINE_DURATION,
         query::{MIN_DEADLINE, QueryRequest},
         view::View,
     },
@@ -175,6 +176,9 @@
 fn from_refusal(refusal: &Refusal) -> CallerAnswer {
     match refusal {
         Refusal::UnknownKind(_) => CallerAnswer::NotFound,
+        Refusal::Quarantined => {
+            CallerAnswer::not_run_until(QUARANTINE_DURATION, refusal.to_string())
+        }
         _ => CallerAnswer::not_run(refusal.to_string()),
     }
 }
--- a/crates/guavacourse/src/edge/gateway/serve.rs
+++ b/crates/guavacourse/src/edge/gateway/serve.rs
@@ -11,6 +11,7 @@
 
 use futures_lite::FutureExt;
 use http_types::{Request, Response};
+use opentelemetry::KeyValue;
 use smol::{
     LocalExecutor,
     channel::Sender,
@@ -28,7 +29,7 @@
         metrics::{EntryMetrics, Metrics},
         node::{NodeServer, serve_fleet},
         published::Published,
-        relay::{LeafProtocol, LocalRelay},
+        relay::{LeafProtocol, LocalRelay, Observer},
         tasks::Tasks,
         worker::StopSignal,
     },
@@ -99,13 +100,15 @@
             }
             finding => pass_on(&findings, finding),
         };
-        let relay = LocalRelay::start(
-            &executor,
-            self.clock,
-            self.view.clone(),
-            self.leaves,
-            report,
-        );
+        let notices = self.entry_metrics.leaf_notices.clone();
+        let observer = Observer {
+            on_finding: Box::new(report),
+            on_leaf_event: Box::new(move |event| {
+                notices.add(1, &[KeyValue::new("kind", event.label())]);
+            }),
+        };
+        let view = self.view.clone();
+        let relay = LocalRelay::start(&executor, self.clock, view, self.leaves, observer);
         let Some(relay) = relay else {
             return;
         };
--- a/crates/guavacourse/src/edge/metrics.rs
+++ b/crates/guavacourse/src/edge/metrics.rs
@@ -98,6 +98,8 @@
     pub(crate) latency: Histogram<f64>,
     /// Calls sent to leaves, by whether they are extra load.
     pub(crate) calls: Counter<u64>,
+    /// Changes in what leaves ask for, by kind.
+    pub(crate) leaf_notices: Counter<u64>,
 }
 
 impl EntryMetrics {
@@ -107,6 +109,7 @@
             requests: meter.u64_counter("requests").build(),
             latency: meter.f64_histogram("latency_ms").build(),
             calls: meter.u64_counter("leaf_calls").build(),
+            leaf_notices: meter.u64_counter("leaf_notices").build(),
         }
     }
 
--- a/crates/guavacourse/src/edge/relay/dispatcher.rs
+++ b/crates/guavacourse/src/edge/relay/dispatcher.rs
@@ -40,13 +40,21 @@
 /// Maximum number of reports that are applied together.
 const MAX_REPORT_BATCH: usize = 256;
 
+/// What a relay calls with what it learns.
+pub(crate) struct Observer {
+    /// Called with what is found out about request content.
+    pub(crate) on_finding: Box<dyn Fn(Finding)>,
+    /// Called with each change in what a leaf asks for.
+    pub(crate) on_leaf_event: Box<dyn Fn(&LeafEvent)>,
+}
+
 /// Sessions, timers and admission state of one relay. All its decisions are made on
 /// the thread that it lives on; exchanges with leaves may run on others.
 pub(super) struct Dispatcher {
     executor: Rc<LocalExecutor<'static>>,
     clock: Clock,
     view: Published<View>,
-    on_finding: Box<dyn Fn(Finding)>,
+    observer: Observer,
     admission: RefCell<Admission>,
     /// Command channels, one to each exchange thread.
     commands: Vec<Sender<Command>>,
@@ -69,7 +77,7 @@
         executor: Rc<LocalExecutor<'static>>,
         clock: Clock,
         view: Published<View>,
-        on_finding: Box<dyn Fn(Finding)>,
+        observer: Observer,
         commands: Vec<Sender<Command>>,
     ) -> Rc<Self> {
         let leaf_threads = ThreadAssignment::new(commands.len());
@@ -77,7 +85,7 @@
             executor,
             clock,
             view,
-            on_finding,
+            observer,
             admission: RefCell::default(),
             commands,
             leaf_threads: leaf_threads.into(),
@@ -236,7 +244,7 @@
             Step::Probe(leaf) => self.probe(leaf),
             Step::Deliver(session, reply) => self.deliver(session, reply),
             Step::Quarantine { content, then } => self.announce_quarantine(content, then),
-            Step::Report(finding) => (self.on_finding)(finding),
+            Step::Report(finding) => (self.observer.on_finding)(finding),
             Step::Note(event) => self.log_leaf_event(&event),
         }
     }
@@ -270,7 +278,7 @@
     /// Announces a content that crashes leaves to every entry. Delivers the reply of
     /// the call that proved it only once they have acknowledged or timed out.
     fn announce_quarantine(self: &Rc<Self>, content: u64, then: Option<(SessionId, Reply)>) {
-        (self.on_finding)(Finding::Quarantined(content));
+        (self.observer.on_finding)(Finding::Quarantined(content));
         let acks: Vec<_> = {
             let outboxes = self.outboxes.borrow();
             outboxes.values().map(|o| o.quarantine(content)).collect()
@@ -284,8 +292,10 @@
         });
     }
 
-    /// Logs a change in what a leaf asks for, within a limit on such lines.
+    /// Logs a change in what a leaf asks for, within a limit on such lines, and passes it
+    /// on.
     fn log_leaf_event(&self, event: &LeafEvent) {
+        (self.observer.on_leaf_event)(event);
         let decision = self.event_lines.borrow_mut().count(self.clock.now());
         if let LineDecision::Write { left_out } = decision {
             if left_out > 0 {
--- a/crates/guavacourse/src/edge/relay/local.rs
+++ b/crates/guavacourse/src/edge/relay/local.rs
@@ -8,7 +8,10 @@
 };
 
 use super::{
-    dispatcher::Dispatcher, exchanges::ExchangeRunner, outbox::Outbox, protocol::LeafProtocol,
+    dispatcher::{Dispatcher, Observer},
+    exchanges::ExchangeRunner,
+    outbox::Outbox,
+    protocol::LeafProtocol,
 };
 use crate::{
     edge::{clock::Clock, entry::CallSender, published::Published},
@@ -16,7 +19,6 @@
         admission::SessionId,
         call::{AttemptId, Part, Reply},
         collections::Map,
-        crash_evidence::Finding,
         inventory::Address,
         view::View,
     },
@@ -39,13 +41,13 @@
 
 impl LocalRelay {
     /// Starts the relay on the thread of `executor`; none if no session can be
-    /// opened. Calls `on_finding` with what is found out about request content.
+    /// opened. Calls `observer` with what it learns.
     pub(crate) fn start(
         executor: &Rc<LocalExecutor<'static>>,
         clock: Clock,
         view: Published<View>,
         protocol: Arc<dyn LeafProtocol>,
-        on_finding: impl Fn(Finding) + 'static,
+        observer: Observer,
     ) -> Option<Self> {
         let (commands, receiver) = unbounded();
         let (reporter, reports) = unbounded();
@@ -55,13 +57,8 @@
             reports: reporter,
             protocol,
         };
-        let dispatcher = Dispatcher::new(
-            Rc::clone(executor),
-            clock,
-            view,
-            Box::new(on_finding),
-            vec![commands],
-        );
+        let dispatcher =
+            Dispatcher::new(Rc::clone(executor), clock, view, observer, vec![commands]);
         let waiters = Rc::<Waiters>::default();
         let receiving = Rc::clone(&waiters);
         let outbox = Outbox::Local(Box::new(move |reply| receiving.deliver(reply)));
--- a/crates/guavacourse/src/edge/relay/mod.rs
+++ b/crates/guavacourse/src/edge/relay/mod.rs
@@ -22,7 +22,6 @@
     channel::{Receiver, Sender, unbounded},
 };
 
-pub(crate) use self::local::LocalRelay;
 pub use self::{
     client::{RelayClient, RelayMessage},
     leaf::NativeProtocol,
@@ -33,6 +32,7 @@
     exchanges::{Command, ExchangeRunner, Report},
     session::RelayCapability,
 };
+pub(crate) use self::{dispatcher::Observer, local::LocalRelay};
 use super::{
     clock::Clock,
     control::{Control, PeerHandle},
@@ -231,12 +231,15 @@
             Rc::clone(&executor),
             self.clock,
             self.view,
-            Box::new(move |finding| {
-                // Only forwarded requests have other findings; this relay has none.
-                if let Finding::Quarantined(content) = finding {
-                    on_quarantine(content);
-                }
-            }),
+            Observer {
+                on_finding: Box::new(move |finding| {
+                    // Only forwarded requests have other findings; this relay has none.
+                    if let Finding::Quarantined(content) = finding {
+                        on_quarantine(content);
+                    }
+                }),
+                on_leaf_event: Box::new(|_| {}),
+            },
             channels.commands,
         );
         let relay = RelayCapability {
--- a/crates/guavacourse/src/modules/leaf_notice.rs
+++ b/crates/guavacourse/src/modules/leaf_notice.rs
@@ -58,3 +58,18 @@
         leaf: String,
     },
 }
+
+impl LeafEvent {
+    /// Returns the label of its counter.
+    #[must_use]
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::Leaving { .. } => "leaving",
+            Self::Limited { .. } => "limited",
+            Self::Unlimited { .. } => "unlimited",
+            Self::Paused { .. } => "paused",
+            Self::Resumed { .. } => "resumed",
+            Self::Malformed { .. } => "malformed",
+        }
+    }
+}
