--- a/crates/guavacourse/src/edge/gateway/mod.rs
+++ b/crates/guavacourse/src/edge/gateway/mod.rs
@@ -166,8 +166,8 @@
 
     /// Stops gracefully: reports not ready, and serves callers until the load
     /// balancer has noticed, asking them to close their connections; then closes
-    /// idle connections, accepts no others, and waits for open requests to finish. Those that do not are
-    /// answered before the grace period ends.
+    /// idle connections, accepts no others, and waits for open requests to finish.
+    /// Those that do not are answered before the grace period ends.
     pub fn stop(self) {
         tracing::info!(instance = %self.config.instance, "the gateway is leaving");
         let delay = BALANCER_DELAY.min(self.config.grace / 2);
--- a/crates/guavacourse/src/edge/relay/dispatcher.rs
+++ b/crates/guavacourse/src/edge/relay/dispatcher.rs
@@ -17,11 +17,12 @@
 use super::{
     exchanges::{Command, Dispatch, Interrupt, Report},
     outbox::Outbox,
+    protocol::Ended,
 };
 use crate::{
     edge::{clock::Clock, published::Published, tasks::Tasks},
     modules::{
-        admission::{Admission, JobKey, SessionId, Step},
+        admission::{Admission, Ending, JobKey, SessionId, Step},
         call::{AttemptId, Part, Reply},
         catalog::LeafId,
         collections::Map,
@@ -369,11 +370,15 @@
 /// Passes a report to the core.
 fn apply_report(core: &mut Admission, report: Report, now: Time) {
     match report {
-        Report::Ended(key, ending, connection) => core.finish(key, &ending, connection, now),
+        Report::Ended(key, Ended { ending, notice }, connection) => {
+            if matches!(ending, Ending::Answered(_)) {
+                core.notice(key, notice, now);
+            }
+            core.finish(key, &ending, connection, now);
+        }
         Report::Abandoned(key) => core.abandoned(key, now),
         Report::Released(leaf) => core.released(leaf, false, now),
         Report::Closed(leaf) => core.closed(leaf, now),
-        Report::Noticed(key, notice) => core.notice(key, notice, now),
         Report::Probed(leaf, alive) => core.probed(leaf, alive, now),
     }
 }
--- a/crates/guavacourse/src/edge/relay/exchanges.rs
+++ b/crates/guavacourse/src/edge/relay/exchanges.rs
@@ -20,7 +20,7 @@
     channel::{Receiver, Sender},
 };
 
-use super::protocol::{self, LeafCall, LeafProtocol};
+use super::protocol::{self, Ended, LeafCall, LeafProtocol};
 use crate::{
     edge::{
         clock::Clock,
@@ -32,7 +32,6 @@
         call::Unknown,
         catalog::LeafId,
         collections::Map,
-        leaf_notice::LeafNotice,
     },
 };
 
@@ -85,9 +84,7 @@
 /// A change of a call or a connection, reported to the dispatcher.
 pub(super) enum Report {
     /// An exchange ended.
-    Ended(JobKey, Ending, ConnectionState),
-    /// The answer to a call has a notice of its leaf; its exchange ends next.
-    Noticed(JobKey, LeafNotice),
+    Ended(JobKey, Ended, ConnectionState),
     /// The connection of a cancelled call is closed.
     Abandoned(JobKey),
     /// A connection reported as closing after its exchange is now closed.
@@ -213,13 +210,7 @@
         };
         let mut connection = kept.filter(usable);
         let sent = Cell::new(false);
-        let run = async {
-            let (ending, notice) = self.send_call(&call, &mut connection, &sent).await;
-            if matches!(ending, Ending::Answered(_)) {
-                self.report(Report::Noticed(call.key, notice));
-            }
-            Some(ending)
-        };
+        let run = async { Some(self.send_call(&call, &mut connection, &sent).await) };
         let interrupted = async {
             // An error means that the call can no longer be interrupted.
             let Ok(reason) = interrupted.await else {
@@ -227,16 +218,18 @@
             };
             match reason {
                 Interrupt::Cancelled => None,
-                Interrupt::DeadlinePassed if sent.get() => Some(Ending::Lost(Unknown::Timeout)),
-                Interrupt::DeadlinePassed => Some(Ending::Unsent),
+                Interrupt::DeadlinePassed if sent.get() => {
+                    Some(Ending::Lost(Unknown::Timeout).into())
+                }
+                Interrupt::DeadlinePassed => Some(Ending::Unsent.into()),
             }
         };
-        let ending = run.or(interrupted).await;
+        let ended = run.or(interrupted).await;
         let running = self.calls.borrow_mut().remove(call.key);
         if let Some(running) = running {
             self.tasks.add(running.task);
         }
-        self.finish(call.key, call.job.call.leaf, ending, connection)
+        self.finish(call.key, call.job.call.leaf, ended, connection)
             .await;
     }
 
@@ -245,7 +238,7 @@
         call: &Dispatch,
         connection: &mut Option<Connection>,
         sent: &Cell<bool>,
-    ) -> (Ending, LeafNotice) {
+    ) -> Ended {
         if connection.is_none() {
             let opened = connect(call.address).await;
             let close_delimited = self.protocol.allows_close_delimited();
@@ -256,7 +249,7 @@
             });
         }
         let Some(connection) = connection.as_mut() else {
-            return (Ending::Unreachable, LeafNotice::default());
+            return Ending::Unreachable.into();
         };
         sent.set(true);
         // Unique over all sessions, unlike the attempt ids of entries.
@@ -276,28 +269,28 @@
         &self,
         key: JobKey,
         leaf: LeafId,
-        ending: Option<Ending>,
+        ended: Option<Ended>,
         connection: Option<Connection>,
     ) {
-        let Some(ending) = ending else {
+        let Some(ended) = ended else {
             if let Some(connection) = connection {
                 connection.close(CLOSE_TIMEOUT).await;
             }
             return self.report(Report::Abandoned(key));
         };
-        let answered = matches!(ending, Ending::Answered(_));
+        let answered = matches!(ended.ending, Ending::Answered(_));
         match connection {
             Some(connection) if answered && connection.reusable() => {
                 let mut pool = self.pool.borrow_mut();
                 pool.entry(leaf).or_default().push(connection);
-                self.report(Report::Ended(key, ending, ConnectionState::Kept));
+                self.report(Report::Ended(key, ended, ConnectionState::Kept));
             }
-            Some(connection) if ending != Ending::Lost(Unknown::Closed) => {
-                self.report(Report::Ended(key, ending, ConnectionState::Closing));
+            Some(connection) if ended.ending != Ending::Lost(Unknown::Closed) => {
+                self.report(Report::Ended(key, ended, ConnectionState::Closing));
                 connection.close(CLOSE_TIMEOUT).await;
                 self.report(Report::Released(leaf));
             }
-            _ => self.report(Report::Ended(key, ending, ConnectionState::Closed)),
+            _ => self.report(Report::Ended(key, ended, ConnectionState::Closed)),
         }
     }
 
--- a/crates/guavacourse/src/edge/relay/protocol.rs
+++ b/crates/guavacourse/src/edge/relay/protocol.rs
@@ -45,24 +45,44 @@
     }
 }
 
+/// The end of an exchange with a leaf.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct Ended {
+    /// How it ended.
+    pub(super) ending: Ending,
+    /// What the leaf said besides the answer; nothing without an answer.
+    pub(super) notice: LeafNotice,
+}
+
+impl From<Ending> for Ended {
+    fn from(ending: Ending) -> Self {
+        Self {
+            ending,
+            notice: LeafNotice::default(),
+        }
+    }
+}
+
 /// Sends a call over an open connection and reads the leaf's reply and notice.
 pub(super) async fn exchange(
     protocol: &dyn LeafProtocol,
     connection: &mut Connection,
     call: &LeafCall<'_>,
-) -> (Ending, LeafNotice) {
+) -> Ended {
     let Some(request) = protocol.encode(call) else {
-        return (Ending::Unreachable, LeafNotice::default());
+        return Ending::Unreachable.into();
     };
     let ending = match connection.exchange_bytes(&request).await {
         Ok((head, body)) => {
-            let notice = protocol.notice(&head);
-            return (protocol.decode(call, &head, body), notice);
+            return Ended {
+                notice: protocol.notice(&head),
+                ending: protocol.decode(call, &head, body),
+            };
         }
         Err(ExchangeError::Unreachable(_)) => Ending::Unreachable,
         Err(ExchangeError::Closed(_)) => Ending::Lost(Unknown::Closed),
         Err(ExchangeError::Malformed(_)) => Ending::Lost(Unknown::Malformed),
         Err(ExchangeError::Timeout) => Ending::Lost(Unknown::Timeout),
     };
-    (ending, LeafNotice::default())
+    ending.into()
 }
