refactor(shares): look up strong processes by name in a set

Sharing the calls to leaves among processes compared each member with each strong one whenever the fleet or a leaf changed: some 40,000 comparisons at 295 machines.

--- a/crates/guavacourse/src/modules/shares.rs
+++ b/crates/guavacourse/src/modules/shares.rs
@@ -26,11 +26,11 @@
 /// others call it too: they prefer it to other replicas.
 const NEAR_SHARE: f64 = 0.7;
 
-/// Maximum number of processes that call a leaf which limits its calls: this multiple of
-/// the calls a second that it takes, and a constant. With more of them, the calls that
-/// all make at the same moment would exceed the limit.
+/// Maximum number of processes that call a leaf which limits its calls: so many for each
+/// call a second that it takes, and so many more. With more of them, the calls that all
+/// make at the same moment would exceed the limit.
 const CALLERS_PER_CALL: f64 = 2.0;
-const MIN_CALLERS: f64 = 5.0;
+const EXTRA_CALLERS: f64 = 5.0;
 
 /// A process that shares the calls to leaves.
 #[derive(Clone, Debug, PartialEq)]
@@ -90,12 +90,12 @@
         let members: Vec<&Member> = members.into_iter().collect();
         let strong: Vec<&Member> = strong_members(&members);
         let weak = members.len() - strong.len();
-        let is_strong = |member: &Member| strong.iter().any(|other| other.name == member.name);
-        let own_strong = strong.iter().any(|member| member.name == own);
+        let strong_names: Set<&str> = strong.iter().map(|member| member.name.as_str()).collect();
+        let own_strong = strong_names.contains(own);
         let processes = members.iter().map(|member| CallingProcess {
             hash: stable_hash(member.name.as_bytes()),
             data_centre: member.data_centre.clone(),
-            strong: is_strong(member),
+            strong: strong_names.contains(member.name.as_str()),
         });
         let fan_out = match (own_strong, weak) {
             (true, 0) => divide(1.0, strong.len()),
@@ -168,7 +168,7 @@
     reason = "a cast to an integer saturates"
 )]
 fn max_callers(total: f64) -> usize {
-    (CALLERS_PER_CALL * total + MIN_CALLERS) as usize
+    (CALLERS_PER_CALL * total + EXTRA_CALLERS) as usize
 }
 
 /// Returns the processes that are strong in their data centre, in the order of
