fix(load-balancer): forget what an earlier incarnation of a leaf asked for

A leaf that asked for a pause and started again under its name was left alone by the entry until the pause was over, ten minutes at most, although the relay had let it in. the_next_incarnation_of_a_leaf_inherits_no_pause sent no call before, and passes.

--- a/crates/guavacourse/src/modules/load_balancer.rs
+++ b/crates/guavacourse/src/modules/load_balancer.rs
@@ -54,6 +54,8 @@
 #[derive(Debug)]
 pub struct LoadBalancer {
     data_centre: String,
+    /// The view of the latest request.
+    view: Arc<View>,
     last_attempt: u64,
     sends: u64,
     queries: u64,
@@ -103,6 +105,7 @@
     pub fn new(data_centre: impl Into<String>) -> Self {
         Self {
             data_centre: data_centre.into(),
+            view: Arc::default(),
             last_attempt: 0,
             sends: 0,
             queries: 0,
@@ -253,7 +256,8 @@
 
     /// Starts a request on a view. If the view is another one than before, drops
     /// the statistics of leaves that it lacks and the state of relays that it
-    /// lacks or that have restarted, and takes its shares.
+    /// lacks or that have restarted, takes its shares, and forgets what earlier
+    /// incarnations of leaves asked for.
     pub fn sync(&mut self, view: &Arc<View>) {
         self.queries = self.queries.wrapping_add(1);
         if self.routing.sync(view) {
@@ -262,6 +266,12 @@
             }
             let ids = &view.catalog.ids;
             self.leaves.retain(|id, _| ids.contains_key(id));
+            let previous = std::mem::replace(&mut self.view, Arc::clone(view));
+            for (id, stats) in &mut self.leaves {
+                if previous.incarnations.get(id) != view.incarnations.get(id) {
+                    stats.closed_until = Time::default();
+                }
+            }
         }
     }
 
--- a/crates/guavacourse/tests/query/deferred.rs
+++ b/crates/guavacourse/tests/query/deferred.rs
@@ -8,6 +8,7 @@
     inventory::Forward,
     load_balancer::LoadBalancer,
     query::QueryRequest,
+    view::View,
 };
 
 use crate::fixture::{DATA_CENTRES, Driver, Fixture, SentCall, ms, request};
@@ -105,3 +106,13 @@
     let mut later = Driver::start_with(&next.view, next.balancer, forwarded(), ms(2_002));
     assert_eq!(later.take_sent()[0].call.leaf, leaves[1]);
 }
+
+#[test]
+fn the_next_incarnation_of_a_leaf_inherits_no_pause() {
+    let mut driver = start();
+    let leaves = defer_all(&mut driver, [60_000, 60_000, 60_000]);
+    let mut view = View::clone(&driver.view);
+    view.incarnations.insert(leaves[2], 2);
+    let mut next = Driver::start_with(&Arc::new(view), driver.balancer, forwarded(), ms(10));
+    assert_eq!(next.take_sent()[0].call.leaf, leaves[2]);
+}
