fix(admission): learn of the next pause from a call that was cancelled

Cause: a call to a leaf that failed is hedged at once, and cancelled as soon as the other leaf answers. The first call after a pause is such a call; its connection was closed, the 503 that asked for the next pause was not read, and the next call went to the leaf. The process's log shows it: a pause is over at 28.199 and the next one noted at 30.750, with requests at the leaf in between.

Change: the first call after a pause is left to finish.

a_cancelled_call_after_a_pause_still_learns_of_the_next abandoned the call before.

--- a/crates/guavacourse/src/modules/admission.rs
+++ b/crates/guavacourse/src/modules/admission.rs
@@ -101,6 +101,7 @@
                 part: Arc::clone(&part),
                 deadline,
                 alone: false,
+                resumes: false,
                 duplicate: false,
                 held_until: Time(0),
                 kind,
@@ -361,6 +362,7 @@
         let resumes = gate.count_start(now);
         self.counts.dispatched += 1;
         if resumes {
+            self.jobs[key].resumes = true;
             self.note(leaf, |leaf| LeafEvent::Resumed { leaf });
         }
         self.steps.push(Step::Dispatch {
--- a/crates/guavacourse/src/modules/admission/job.rs
+++ b/crates/guavacourse/src/modules/admission/job.rs
@@ -38,6 +38,9 @@
     pub deadline: Time,
     /// Whether it runs with nothing else on its leaf.
     pub alone: bool,
+    /// Whether it is the first call after a pause of its leaf, whose answer tells whether
+    /// the leaf wants another.
+    pub(super) resumes: bool,
     /// Whether it waits for a canary call of the same content on its leaf.
     pub(super) duplicate: bool,
     /// Time from which it may run alone, unless its content is cleared before.
--- a/crates/guavacourse/src/modules/admission/queue.rs
+++ b/crates/guavacourse/src/modules/admission/queue.rs
@@ -271,7 +271,8 @@
     }
 
     /// Cancels one call. A trial or canary call is left to finish, because its
-    /// outcome shows whether the content is harmful.
+    /// outcome shows whether the content is harmful, and so is the first call after a
+    /// pause, which shows whether the leaf wants another.
     pub(super) fn cancel_call(&mut self, key: JobKey, now: Time) {
         let Some(job) = self.jobs.get_mut(key) else {
             return;
@@ -284,7 +285,7 @@
             }
             Phase::Running { wanted, .. } => {
                 *wanted = false;
-                if !job.alone && !job.part.canary {
+                if !job.alone && !job.part.canary && !job.resumes {
                     self.steps.push(Step::Abandon(key));
                 }
             }
--- a/crates/guavacourse/tests/admission/notices.rs
+++ b/crates/guavacourse/tests/admission/notices.rs
@@ -3,10 +3,14 @@
 use std::{collections::HashSet, time::Duration};
 
 use guavacourse::modules::{
-    call::NotRun, catalog::LeafId, leaf_notice::LeafNotice, shares::Shares, time::Time,
+    call::{AttemptId, NotRun},
+    catalog::LeafId,
+    leaf_notice::LeafNotice,
+    shares::Shares,
+    time::Time,
 };
 
-use super::harness::{Harness, call, refused};
+use super::harness::{Harness, SESSION, call, refused};
 
 fn limited(total: f64) -> LeafNotice {
     LeafNotice {
@@ -323,3 +327,22 @@
     harness.submit(&call(2));
     assert!(harness.take_steps().contains("dispatch 2"));
 }
+
+// A call to a leaf that failed is hedged at once, and cancelled when the other leaf answers.
+#[test]
+fn a_cancelled_call_after_a_pause_still_learns_of_the_next() {
+    let mut harness = paused();
+    harness.answer(2);
+    harness.take_steps();
+    harness.advance(1_101);
+    harness.submit(&call(4));
+    harness.take_steps();
+    harness
+        .admission
+        .cancel(SESSION, &[AttemptId(4)], harness.now);
+    assert_eq!(harness.take_steps(), "");
+    refuse(&mut harness, 4, pausing(500));
+    insta::assert_snapshot!(harness.take_steps(), @r#"note Paused { leaf: "a", pause: 500ms }"#);
+    harness.submit(&call(5));
+    assert_eq!(harness.take_steps(), "deliver 5: not run: Deferred");
+}
