--- a/crates/guavacourse/src/edge/gateway/stopping.rs
+++ b/crates/guavacourse/src/edge/gateway/stopping.rs
@@ -9,15 +9,16 @@
     time::{Duration, Instant},
 };
 
-use smol::channel::{Receiver, Sender, bounded};
-
-use crate::{edge::http::Shutdown, modules::departure::Departure};
+use crate::{
+    edge::{http::Shutdown, latch::Latch},
+    modules::departure::Departure,
+};
 
 /// Interval between checks for open requests.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Progress of a gateway's shutdown. Clones share it.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Stopping {
     /// When requests end that are still open, once the process is leaving.
     end: Arc<Mutex<Option<Instant>>>,
@@ -25,26 +26,11 @@
     unrouted: Arc<AtomicBool>,
     /// Number of open requests of callers and peers.
     open_requests: Arc<AtomicUsize>,
-    /// Closed when open requests are to be answered as they are.
-    expire: Sender<()>,
-    expired: Receiver<()>,
+    /// Set when open requests are to be answered as they are.
+    expired: Latch,
     pub(super) shutdown: Shutdown,
 }
 
-impl Default for Stopping {
-    fn default() -> Self {
-        let (expire, expired) = bounded(1);
-        Self {
-            end: Arc::default(),
-            unrouted: Arc::default(),
-            open_requests: Arc::default(),
-            expire,
-            expired,
-            shutdown: Shutdown::default(),
-        }
-    }
-}
-
 impl Stopping {
     /// Reports not ready from now on, and asks callers to close their connections.
     /// Requests end at `end` at the latest.
@@ -62,13 +48,12 @@
 
     /// Refuses requests from now on, and answers the open ones.
     pub(super) fn expire(&self) {
-        self.expire.close();
+        self.expired.set();
     }
 
     /// Returns once open requests are to be answered as they are.
     pub(super) async fn wait_expired(&self) {
-        // Nothing is ever sent; an error means that the channel was closed.
-        let _ = self.expired.recv().await;
+        self.expired.wait().await;
     }
 
     /// Returns whether the process is leaving.
@@ -79,9 +64,8 @@
     /// Returns how far the process is on its way out; `None` if it is not leaving.
     pub(super) fn departure(&self) -> Option<Departure> {
         let end = *self.end.lock().unwrap_or_else(PoisonError::into_inner);
-        let expired = self.expire.is_closed();
         end.map(|end| Departure {
-            left: if expired {
+            left: if self.expired.is_set() {
                 Duration::ZERO
             } else {
                 end.saturating_duration_since(Instant::now())
--- a/crates/guavacourse/src/edge/http/server.rs
+++ b/crates/guavacourse/src/edge/http/server.rs
@@ -13,16 +13,13 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt, future};
 use http_types::{Method, Request, Response, StatusCode, headers};
 use serde::Serialize;
-use smol::{
-    Timer,
-    channel::{Receiver, Sender, bounded},
-    net::TcpStream,
-};
+use smol::{Timer, net::TcpStream};
 
 use super::{
     head::{Framing, MAX_HEAD_BYTES, MessageError, MessageKind, read_body, read_head, read_some},
     message,
 };
+use crate::edge::latch::Latch;
 
 /// Limits of one connection.
 #[derive(Clone, Debug)]
@@ -42,22 +39,10 @@
 }
 
 /// Progress of a server's shutdown. Clones share the same state.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Shutdown {
     announced: Arc<AtomicBool>,
-    end: Sender<()>,
-    ended: Receiver<()>,
-}
-
-impl Default for Shutdown {
-    fn default() -> Self {
-        let (end, ended) = bounded(1);
-        Self {
-            announced: Arc::default(),
-            end,
-            ended,
-        }
-    }
+    ended: Latch,
 }
 
 impl Shutdown {
@@ -71,7 +56,7 @@
     /// Closes idle connections too.
     pub fn end(&self) {
         self.announce();
-        self.end.close();
+        self.ended.set();
     }
 
     fn announced(&self) -> bool {
@@ -80,8 +65,7 @@
 
     /// Returns once idle connections are closed.
     pub(crate) async fn wait_ended(&self) {
-        // Nothing is ever sent; an error means that the channel was closed.
-        let _ = self.ended.recv().await;
+        self.ended.wait().await;
     }
 }
 
--- a/crates/guavacourse/src/edge/mod.rs
+++ b/crates/guavacourse/src/edge/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod fleet;
 pub mod gateway;
 pub mod http;
+pub(crate) mod latch;
 pub mod log;
 pub mod metrics;
 pub(crate) mod node;
--- a/crates/guavacourse/src/modules/admission/notices.rs
+++ b/crates/guavacourse/src/modules/admission/notices.rs
@@ -97,8 +97,6 @@
 /// A pause that a leaf asked for. It lasts until the leaf answers a call after its end.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Pause {
-    /// When the leaf last asked for it.
-    asked: Time,
     /// Until when the leaf wants no calls.
     until: Time,
     /// Whether a call was sent after its end.
@@ -184,7 +182,6 @@
             return;
         };
         let known = gate.pause.replace(Pause {
-            asked: now,
             until,
             resumed: false,
         });
@@ -200,10 +197,7 @@
         let Some(gate) = self.gates.get_mut(&leaf) else {
             return;
         };
-        if gate
-            .pause
-            .is_some_and(|pause| sent >= pause.until.max(pause.asked))
-        {
+        if gate.pause.is_some_and(|pause| sent >= pause.until) {
             gate.pause = None;
         }
     }
--- a/crates/guavacourse/tests/admission/findings.rs
+++ b/crates/guavacourse/tests/admission/findings.rs
@@ -27,6 +27,18 @@
     harness.take_steps();
 }
 
+/// Crashes leaf `a` under a call, and starts attempt 2 of it alone on leaf `b`.
+fn with_trial() -> Harness {
+    let mut harness = Harness::new();
+    crash(&mut harness, 1, "a");
+    harness.submit(&CallSpec {
+        alone: true,
+        ..forwarded(2, "b")
+    });
+    harness.take_steps();
+    harness
+}
+
 /// Returns the steps after the time in which content may prove harmless.
 fn steps_after_delay(harness: &mut Harness) -> String {
     harness.advance(REPORT_DELAY);
@@ -52,13 +64,7 @@
 
 #[test]
 fn content_that_another_leaf_runs_is_not_reported() {
-    let mut harness = Harness::new();
-    crash(&mut harness, 1, "a");
-    harness.submit(&CallSpec {
-        alone: true,
-        ..forwarded(2, "b")
-    });
-    harness.take_steps();
+    let mut harness = with_trial();
     harness.answer(2);
     harness.take_steps();
     assert_eq!(steps_after_delay(&mut harness), "");
@@ -66,13 +72,7 @@
 
 #[test]
 fn a_trial_that_crashes_its_leaf_is_reported_at_once() {
-    let mut harness = Harness::new();
-    crash(&mut harness, 1, "a");
-    harness.submit(&CallSpec {
-        alone: true,
-        ..forwarded(2, "b")
-    });
-    harness.take_steps();
+    let mut harness = with_trial();
     harness.drop_connection(2);
     harness.fail_probe("b");
     insta::assert_snapshot!(harness.take_steps(), @r#"
--- a/crates/guavacourse/tests/admission/notices.rs
+++ b/crates/guavacourse/tests/admission/notices.rs
@@ -19,6 +19,15 @@
     }
 }
 
+/// Lists leaf `a` with an incarnation.
+fn list_incarnation(harness: &mut Harness, incarnation: u64) {
+    harness
+        .view
+        .incarnations
+        .insert(LeafId::of("a"), incarnation);
+    harness.publish();
+}
+
 /// Answers an attempt with a notice.
 fn answer(harness: &mut Harness, attempt: u64, notice: LeafNotice) {
     let key = harness.job_key(attempt);
@@ -124,14 +133,12 @@
 #[test]
 fn a_new_incarnation_inherits_no_limit() {
     let mut harness = Harness::new();
-    harness.view.incarnations.insert(LeafId::of("a"), 1);
-    harness.publish();
+    list_incarnation(&mut harness, 1);
     harness.submit(&call(1));
     harness.take_steps();
     answer(&mut harness, 1, limited(1.0));
     harness.take_steps();
-    harness.view.incarnations.insert(LeafId::of("a"), 2);
-    harness.publish();
+    list_incarnation(&mut harness, 2);
     harness.submit(&call(2));
     harness.submit(&call(3));
     assert_eq!(harness.take_steps().matches("dispatch").count(), 2);
@@ -167,8 +174,7 @@
 /// Has a leaf of incarnation 5 say that it is leaving.
 fn leaving() -> Harness {
     let mut harness = Harness::new();
-    harness.view.incarnations.insert(LeafId::of("a"), 5);
-    harness.publish();
+    list_incarnation(&mut harness, 5);
     for attempt in 1..4 {
         harness.submit(&call(attempt));
     }
@@ -209,8 +215,7 @@
     harness.add_leaf(leaf.clone());
     harness.submit(&call(4));
     assert_eq!(harness.take_steps(), "deliver 4: not run: Draining");
-    harness.view.incarnations.insert(LeafId::of("a"), 6);
-    harness.publish();
+    list_incarnation(&mut harness, 6);
     harness.submit(&call(5));
     assert!(harness.take_steps().contains("dispatch 5"));
 }
@@ -316,14 +321,12 @@
 #[test]
 fn a_new_incarnation_inherits_no_pause() {
     let mut harness = Harness::new();
-    harness.view.incarnations.insert(LeafId::of("a"), 1);
-    harness.publish();
+    list_incarnation(&mut harness, 1);
     harness.submit(&call(1));
     harness.take_steps();
     refuse(&mut harness, 1, pausing(60_000));
     harness.take_steps();
-    harness.view.incarnations.insert(LeafId::of("a"), 2);
-    harness.publish();
+    list_incarnation(&mut harness, 2);
     harness.submit(&call(2));
     assert!(harness.take_steps().contains("dispatch 2"));
 }
