fix(load-balancer): ask limited leaves again when the fleet shares them anew

Cause: a limit was named before these processes were listed, so they had no part of it. The relay gave them one once they were, but the entry had been told when the limit counts as lifted, and did not ask the relay before.

Change: the entry forgets until when leaves take no calls when the shares of the fleet change.

a_leaf_is_asked_again_when_the_shares_of_the_fleet_change sent no call before, and passes.

--- a/crates/guavacourse/src/modules/load_balancer.rs
+++ b/crates/guavacourse/src/modules/load_balancer.rs
@@ -256,8 +256,8 @@
 
     /// Starts a request on a view. If the view is another one than before, drops
     /// the statistics of leaves that it lacks and the state of relays that it
-    /// lacks or that have restarted, takes its shares, and forgets what earlier
-    /// incarnations of leaves asked for.
+    /// lacks or that have restarted, takes its shares, and forgets until when leaves
+    /// take no calls that have restarted or whose calls are shared anew.
     pub fn sync(&mut self, view: &Arc<View>) {
         self.queries = self.queries.wrapping_add(1);
         if self.routing.sync(view) {
@@ -267,8 +267,10 @@
             let ids = &view.catalog.ids;
             self.leaves.retain(|id, _| ids.contains_key(id));
             let previous = std::mem::replace(&mut self.view, Arc::clone(view));
+            let shared_anew = previous.shares != view.shares;
             for (id, stats) in &mut self.leaves {
-                if previous.incarnations.get(id) != view.incarnations.get(id) {
+                let restarted = previous.incarnations.get(id) != view.incarnations.get(id);
+                if shared_anew || restarted {
                     stats.closed_until = Time::default();
                 }
             }
--- a/crates/guavacourse/tests/query/deferred.rs
+++ b/crates/guavacourse/tests/query/deferred.rs
@@ -5,9 +5,12 @@
 use guavacourse::modules::{
     call::{NotRun, Outcome, Reply},
     catalog::LeafId,
+    collections::Set,
     inventory::Forward,
     load_balancer::LoadBalancer,
+    members::Member,
     query::QueryRequest,
+    shares::Shares,
     view::View,
 };
 
@@ -116,3 +119,18 @@
     let mut next = Driver::start_with(&Arc::new(view), driver.balancer, forwarded(), ms(10));
     assert_eq!(next.take_sent()[0].call.leaf, leaves[2]);
 }
+
+// A process that is not listed yet has no part of a limit; it gets one when it is.
+#[test]
+fn a_leaf_is_asked_again_when_the_shares_of_the_fleet_change() {
+    let mut driver = start();
+    defer_all(&mut driver, [60_000, 60_000, 60_000]);
+    let mut view = View::clone(&driver.view);
+    let members = ["a", "b"].map(|name| Member {
+        name: name.to_owned(),
+        ..Member::default()
+    });
+    view.shares = Shares::new("a", &members, Set::default());
+    let mut next = Driver::start_with(&Arc::new(view), driver.balancer, forwarded(), ms(10));
+    assert_eq!(next.take_sent().len(), 1);
+}
