--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,4 +1,5 @@
 #!/bin/sh
-# Exits with 1 if a service ran a request that no configuration lets it run, 0 if none did,
-# 2 if the case could not run. TROUBLE=0: no other writer writes to the store.
+# Exits with 1 if requests that were passed on to sound leafs from kept connections ended
+# without an answer more than three times, 0 if not, 2 if the case could not run.
+# TROUBLE=0: no leaf hands out wrong bytes.
 cd "$(dirname "$0")" && exec python3 case.py
