--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -473,9 +473,12 @@
     nodes = []
 
     async def run():
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             return await asyncio.wait_for(case(record, trouble(), nodes), 110)
-        except Exception as error:  # The case could not run to its end.
+        except (Exception, asyncio.CancelledError) as error:
             return CANNOT_RUN, f"the case could not run: {error!r}"
         finally:
             for node in nodes:
