--- a/crates/guavacourse/src/edge/relay/protocol.rs
+++ b/crates/guavacourse/src/edge/relay/protocol.rs
@@ -30,7 +30,8 @@
     /// the call.
     fn encode(&self, call: &LeafCall<'_>) -> Option<Vec<u8>>;
 
-    /// Decodes a whole response into the ending of its call.
+    /// Decodes a whole response into the ending of its call. A response that does not
+    /// echo the id of the call's request belongs to another call, whatever it says.
     fn decode(&self, call: &LeafCall<'_>, head: &ResponseHead, body: Vec<u8>) -> Ending;
 
     /// Returns what a leaf says about itself in a response, besides the answer.
