fix(relay): send a request only once on a connection that refused it

Leaves of the platform echo the caller's id, the same for each attempt. On the connection that had carried a refusal, a late copy of it was taken for the refusal of the next attempt, which the leaf ran.

A connection remembers which requests its leaf has refused on it, by the hash of the id and until their deadlines. A later attempt takes another kept connection, or a new one in the place of a kept one that is closed first, so that the leaf's limit of connections holds. A refusal on a connection that has carried none before cannot be such a copy. Exchanges that fail are logged at debug level.

--- a/crates/guavacourse/src/edge/relay/exchanges.rs
+++ b/crates/guavacourse/src/edge/relay/exchanges.rs
@@ -20,7 +20,10 @@
     channel::{Receiver, Sender},
 };
 
-use super::protocol::{self, Ended, LeafCall, LeafProtocol};
+use super::{
+    kept::LeafConnection,
+    protocol::{self, Ended, LeafCall, LeafProtocol},
+};
 use crate::{
     edge::{
         clock::Clock,
@@ -72,6 +75,15 @@
     pub(super) new_connection: bool,
 }
 
+impl Dispatch {
+    /// Returns the caller's id of the request, which the leaf echoes; none if the leaf
+    /// echoes an id that is unique to the call.
+    fn request_id(&self) -> Option<&str> {
+        let forward = self.job.part.forward.as_ref();
+        forward.map(|forward| forward.id.as_str())
+    }
+}
+
 /// Why an exchange is interrupted.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Interrupt {
@@ -131,7 +143,7 @@
     reports: Sender<Report>,
     protocol: Arc<dyn LeafProtocol>,
     memory: ReceiveMemory,
-    pool: RefCell<Map<LeafId, Vec<Connection>>>,
+    pool: RefCell<Map<LeafId, Vec<LeafConnection>>>,
     calls: RefCell<SecondaryMap<JobKey, RunningCall>>,
     tasks: Tasks,
 }
@@ -179,7 +191,7 @@
         let kept = if call.new_connection {
             None
         } else {
-            self.take_kept(call.job.call.leaf)
+            self.take_kept_for(&call)
         };
         let (interrupt, interrupted) = oneshot::channel();
         let key = call.key;
@@ -192,25 +204,40 @@
             .insert(key, RunningCall { interrupt, task });
     }
 
-    fn take_kept(&self, leaf: LeafId) -> Option<Connection> {
+    fn take_kept(&self, leaf: LeafId) -> Option<LeafConnection> {
         self.pool.borrow_mut().get_mut(&leaf).and_then(Vec::pop)
     }
 
+    /// Returns the kept connection for a call: the last one on which its request has not
+    /// been refused, or else the last one.
+    fn take_kept_for(&self, call: &Dispatch) -> Option<LeafConnection> {
+        let mut pool = self.pool.borrow_mut();
+        let kept = pool.get_mut(&call.job.call.leaf)?;
+        let free = kept
+            .iter()
+            .rposition(|kept| !kept.has_refused(call.request_id()));
+        match free {
+            Some(index) => Some(kept.remove(index)),
+            None => kept.pop(),
+        }
+    }
+
     /// Runs one exchange and reports its end.
     async fn run_call(
         self: &Rc<Self>,
         call: Dispatch,
-        kept: Option<Connection>,
+        kept: Option<LeafConnection>,
         interrupted: oneshot::Receiver<Interrupt>,
     ) {
-        // The kept connection goes to a leaf's old address if it was in use when the
-        // leaf's address changed.
-        let usable = |kept: &Connection| {
-            kept.address() == call.address && kept.within_keep_alive() && kept.is_open()
-        };
-        let mut connection = kept.filter(usable);
+        let mut connection = kept.filter(|kept| kept.usable(call.address));
+        let replaced = connection.take_if(|kept| kept.has_refused(call.request_id()));
         let sent = Cell::new(false);
-        let run = async { Some(self.send_call(&call, &mut connection, &sent).await) };
+        let run = async {
+            if let Some(replaced) = replaced {
+                replaced.close(CLOSE_TIMEOUT).await;
+            }
+            Some(self.send_call(&call, &mut connection, &sent).await)
+        };
         let interrupted = async {
             // An error means that the call can no longer be interrupted.
             let Ok(reason) = interrupted.await else {
@@ -236,16 +263,15 @@
     async fn send_call(
         &self,
         call: &Dispatch,
-        connection: &mut Option<Connection>,
+        connection: &mut Option<LeafConnection>,
         sent: &Cell<bool>,
     ) -> Ended {
         if connection.is_none() {
             let opened = connect(call.address).await;
             let close_delimited = self.protocol.allows_close_delimited();
-            *connection = opened.map(|connection| {
-                connection
-                    .with_close_delimited(close_delimited)
-                    .with_memory(self.memory.clone())
+            *connection = opened.map(|opened| {
+                let opened = opened.with_close_delimited(close_delimited);
+                LeafConnection::new(opened.with_memory(self.memory.clone()))
             });
         }
         let Some(connection) = connection.as_mut() else {
@@ -261,7 +287,16 @@
             call_id,
             time_left: call.job.deadline.left(self.clock.now()),
         };
-        protocol::exchange(&*self.protocol, connection, &leaf_call).await
+        let ended = protocol::exchange(&*self.protocol, connection.http(), &leaf_call).await;
+        if let Ending::Lost(reason) = &ended.ending {
+            tracing::debug!(leaf = call.leaf, ?reason, "an exchange with a leaf failed");
+        }
+        if let Some(id) = call.request_id()
+            && ended.refused()
+        {
+            connection.record_refusal(id, call.job.deadline, self.clock.now());
+        }
+        ended
     }
 
     /// Reports the end of an exchange, and closes or keeps its connection.
@@ -270,7 +305,7 @@
         key: JobKey,
         leaf: LeafId,
         ended: Option<Ended>,
-        connection: Option<Connection>,
+        connection: Option<LeafConnection>,
     ) {
         let Some(ended) = ended else {
             if let Some(connection) = connection {
--- a/crates/guavacourse/src/edge/relay/mod.rs
+++ b/crates/guavacourse/src/edge/relay/mod.rs
@@ -3,6 +3,7 @@
 mod client;
 mod dispatcher;
 mod exchanges;
+mod kept;
 mod leaf;
 mod local;
 mod outbox;
--- a/crates/guavacourse/src/edge/relay/protocol.rs
+++ b/crates/guavacourse/src/edge/relay/protocol.rs
@@ -5,7 +5,7 @@
 use super::super::http::{Connection, ExchangeError, ResponseHead};
 use crate::modules::{
     admission::{Ending, Job},
-    call::Unknown,
+    call::{Outcome, Unknown},
     leaf_notice::LeafNotice,
 };
 
@@ -55,6 +55,16 @@
     pub(super) notice: LeafNotice,
 }
 
+impl Ended {
+    /// Returns whether the leaf answered that it did not run the call.
+    pub(super) fn refused(&self) -> bool {
+        match &self.ending {
+            Ending::Answered(answer) => matches!(answer.outcome, Outcome::NotRun(_)),
+            _ => false,
+        }
+    }
+}
+
 impl From<Ending> for Ended {
     fn from(ending: Ending) -> Self {
         Self {
--- a/crates/guavacourse/src/modules/mod.rs
+++ b/crates/guavacourse/src/modules/mod.rs
@@ -51,6 +51,7 @@
 pub mod readers;
 pub mod recent;
 pub mod records;
+pub mod refused_requests;
 pub mod reopen;
 pub mod replicas;
 pub mod roster;
