fix(platform): judge a signature before it reaches a panicking conversion

A leaf's head is checked to be UTF-8, but http-types takes only ASCII as the value of a header and panics for others, which ended the task of the connection. Each lost connection left one "thread 'traffic' panicked" in the log.

--- a/crates/guavacourse/src/edge/entry/callers.rs
+++ b/crates/guavacourse/src/edge/entry/callers.rs
@@ -17,7 +17,10 @@
     state::{MAX_DEADLINE, ThreadState},
 };
 use crate::{
-    edge::{http::json_response, metrics::Metrics},
+    edge::{
+        http::{json_response, set_header},
+        metrics::Metrics,
+    },
     modules::{
         answer::{AnswerBody, AnswerRows, Failure, Reason, Refusal},
         burn::KindBurn,
@@ -150,13 +153,13 @@
             let mut response = query(state, &id, kind, &mut request)
                 .await
                 .unwrap_or_else(|error| error.response());
-            response.insert_header("request-id", id.as_str());
+            set_request_id(&mut response, &id);
             response
         }
         (Method::Post, "actions", kind) => {
             let id = context.request_id();
             let mut response = actions::handle_action(state, &id, kind, &mut request).await;
-            response.insert_header("request-id", id.as_str());
+            set_request_id(&mut response, &id);
             response
         }
         (Method::Post, "tickets", "") => actions::mint(state, context).await,
@@ -169,6 +172,13 @@
     }
 }
 
+/// Names the request in a response. An instance whose name is not ASCII cannot.
+fn set_request_id(response: &mut Response, id: &str) {
+    if let Err(error) = set_header(response, "request-id", id) {
+        tracing::warn!(%error, "a response names no request; give the instance an ASCII name");
+    }
+}
+
 impl ApiContext {
     /// Returns an id for a new request, unique among all entries.
     pub(crate) fn request_id(&self) -> String {
--- a/crates/guavacourse/src/edge/http/message.rs
+++ b/crates/guavacourse/src/edge/http/message.rs
@@ -104,6 +104,34 @@
     Ok(response)
 }
 
+/// Returns whether a text can be the value of a header that [`set_header`] sets: only
+/// visible ASCII characters, spaces and tabs.
+#[must_use]
+pub fn is_header_value(text: &str) -> bool {
+    text.bytes().all(|byte| matches!(byte, b'\t' | b' '..=b'~'))
+}
+
+/// Sets a header of a response, unless the text is empty.
+///
+/// # Errors
+///
+/// Returns an error if the text cannot be the value of a header, see
+/// [`is_header_value`].
+pub fn set_header(
+    response: &mut Response,
+    name: &'static str,
+    text: &str,
+) -> Result<(), MessageError> {
+    if !is_header_value(text) {
+        let message = format!("header {name} is not visible ASCII; send only such characters");
+        return Err(MessageError::Header(message));
+    }
+    if !text.is_empty() {
+        response.insert_header(name, text);
+    }
+    Ok(())
+}
+
 fn convert_header(
     header: &httparse::Header<'_>,
 ) -> Result<(HeaderName, HeaderValue), MessageError> {
