--- a/crates/guavacourse/src/edge/http/message.rs
+++ b/crates/guavacourse/src/edge/http/message.rs
@@ -88,9 +88,7 @@
 
 /// Builds a response from its head and body.
 pub(super) fn response(head: &ResponseHead, body: Vec<u8>) -> Result<Response, MessageError> {
-    let status = StatusCode::try_from(head.status)
-        .map_err(|_| MessageError::Syntax(format!("status {} is not known", head.status)))?;
-    let mut response = Response::new(status);
+    let mut response = Response::new(status(head.status)?);
     response.set_body(body);
     response.remove_header("content-type");
     for (name, value) in &head.headers {
@@ -104,6 +102,16 @@
     Ok(response)
 }
 
+/// Converts the status of a response.
+///
+/// # Errors
+///
+/// Returns an error for a status that no registry lists: a [`Response`] cannot have it.
+pub fn status(code: u16) -> Result<StatusCode, MessageError> {
+    StatusCode::try_from(code)
+        .map_err(|_| MessageError::Syntax(format!("status {code} is not known")))
+}
+
 /// Returns whether a text can be the value of a header that [`set_header`] sets: only
 /// visible ASCII characters, spaces and tabs.
 #[must_use]
--- a/crates/guavacourse/src/edge/http/mod.rs
+++ b/crates/guavacourse/src/edge/http/mod.rs
@@ -14,6 +14,6 @@
 
 pub use client::{Connection, ExchangeError, call};
 pub use head::{MAX_HEAD_BYTES, MessageError};
-pub use message::{ResponseHead, Target, is_header_value, set_header};
+pub use message::{ResponseHead, Target, is_header_value, set_header, status};
 pub use receive_memory::ReceiveMemory;
 pub use server::{Limits, Shutdown, json_response, serve};
