--- a/crates/guavacourse/src/edge/relay/exchanges.rs
+++ b/crates/guavacourse/src/edge/relay/exchanges.rs
@@ -209,7 +209,7 @@
     }
 
     /// Returns the kept connection for a call: the last one on which its request has not
-    /// been refused, or else the last one.
+    /// been refused, or else the last one, which a new one must replace.
     fn take_kept_for(&self, call: &Dispatch) -> Option<LeafConnection> {
         let mut pool = self.pool.borrow_mut();
         let kept = pool.get_mut(&call.job.call.leaf)?;
@@ -234,6 +234,7 @@
         let sent = Cell::new(false);
         let run = async {
             if let Some(replaced) = replaced {
+                // Closed before another is opened, to stay within the leaf's limit.
                 replaced.close(CLOSE_TIMEOUT).await;
             }
             Some(self.send_call(&call, &mut connection, &sent).await)
