feat(customers): identify callers by key and keep to allowed regions

A deployment may configure customers: their callers send a key, leaves get the customer's name and never the key, and routes and customers may allow some regions only.

--- a/crates/daemons/src/measure/core.rs
+++ b/crates/daemons/src/measure/core.rs
@@ -155,6 +155,7 @@
         body: Arc::from(&b"{}"[..]),
         forward: None,
         age: Duration::ZERO,
+        customer: None,
         only_services: Vec::new(),
     };
     let (mut query, mut steps) = Query::start(Arc::clone(view), balancer, request, now)?;
--- a/crates/guavacourse/schema/wire.capnp
+++ b/crates/guavacourse/schema/wire.capnp
@@ -260,6 +260,8 @@
   # Minimum fraction of the shards that an answer covers; if negative, that of the
   # kind is used.
   leastCoverage @10 :Float64 = -1;
+  # Name of the caller's customer; empty if it has none.
+  customer @11 :Text;
 }
 
 struct Header {
--- a/crates/guavacourse/src/edge/entry/callers.rs
+++ b/crates/guavacourse/src/edge/entry/callers.rs
@@ -201,6 +201,7 @@
         body: Arc::from(body(request).await?),
         forward: None,
         age: Duration::ZERO,
+        customer: None,
         only_services: Vec::new(),
     };
     let answer = match state.run_query(request).await {
--- a/crates/guavacourse/src/edge/gateway/call_router.rs
+++ b/crates/guavacourse/src/edge/gateway/call_router.rs
@@ -149,6 +149,7 @@
         body: Arc::clone(&part.body),
         forward: part.forward.clone(),
         age: part.age,
+        customer: part.customer.clone(),
         only_services: positions.to_vec(),
     }
 }
--- a/crates/guavacourse/src/edge/gateway/explain.rs
+++ b/crates/guavacourse/src/edge/gateway/explain.rs
@@ -5,6 +5,7 @@
 use super::serve::Traffic;
 use crate::modules::{
     answer::{Answer, Refusal},
+    customers::Denial,
     line_budget::LineDecision,
 };
 
@@ -51,6 +52,14 @@
     }
 }
 
+/// Logs a request without a key that a customer holds.
+pub(super) fn log_denial(traffic: &Traffic, id: &str, kind: &str, denial: Denial) {
+    if may_write(traffic) {
+        let revision = traffic.view.load().catalog.revision;
+        tracing::info!(request = id, kind, revision, %denial, "a request was denied");
+    }
+}
+
 /// Returns whether another line about a request may be written, and logs how many
 /// were left out before.
 fn may_write(traffic: &Traffic) -> bool {
--- a/crates/guavacourse/src/edge/gateway/follow.rs
+++ b/crates/guavacourse/src/edge/gateway/follow.rs
@@ -23,7 +23,7 @@
     pause::{Backoff, MAX_BACKOFF},
     sources::Sources,
 };
-use super::{GatewayConfig, Registry, RegistryError};
+use super::{GatewayConfig, Registry, RegistryError, freshness::Freshness};
 use crate::{
     edge::{
         clock::Clock,
@@ -65,6 +65,8 @@
     pub(super) listener: TcpListener,
     /// What the traffic thread finds out about request content.
     pub(super) findings: Receiver<Finding>,
+    /// To the traffic thread.
+    pub(super) freshness: Freshness,
 }
 
 /// Runs the control thread until `stop`, then ends the registration.
@@ -244,6 +246,7 @@
     fn apply_reading(&self, reading: RegistryReading, whole: bool, fresh_at: Time) {
         self.revision.set(self.revision.get().max(reading.as_of));
         self.fresh_at.set(self.fresh_at.get().max(Some(fresh_at)));
+        self.setup.freshness.record(fresh_at);
         if whole {
             self.update(|directory, now| directory.replace(reading, now));
         } else {
--- a/crates/guavacourse/src/edge/gateway/mod.rs
+++ b/crates/guavacourse/src/edge/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod call_router;
 mod explain;
 mod follow;
+mod freshness;
 mod listen;
 mod peer_call;
 mod peers;
@@ -43,6 +44,7 @@
 };
 use crate::modules::{
     collections::Map,
+    customers::Revocation,
     extra::ExtraLimits,
     inventory::Address,
     members::{Member, Role},
@@ -83,6 +85,8 @@
     pub extra: ExtraLimits,
     /// Time from the request to stop until the process is killed.
     pub grace: Duration,
+    /// How soon a revoked key must be refused.
+    pub revocation: Revocation,
 }
 
 impl GatewayConfig {
@@ -132,6 +136,7 @@
             u64::try_from(dropped.dropped_lines()).unwrap_or(u64::MAX)
         });
         let (findings, received) = follow::findings::channel();
+        let freshness = freshness::Freshness::default();
         let setup = serve::Setup {
             listeners: listen::Listeners::bind(&config)?,
             config: config.clone(),
@@ -143,6 +148,7 @@
             entry_metrics: EntryMetrics::new(&metrics.meter()),
             metrics,
             findings,
+            freshness: freshness.clone(),
         };
         let follower = follow::Setup {
             config: config.clone(),
@@ -150,6 +156,7 @@
             view,
             listener: listen::bind(config.feed)?,
             findings: received,
+            freshness,
         };
         let control = Worker::spawn("control", |executor, stop| {
             follow::run(follower, registry, executor, stop)
--- a/crates/guavacourse/src/edge/gateway/protocol.rs
+++ b/crates/guavacourse/src/edge/gateway/protocol.rs
@@ -4,7 +4,11 @@
 
 use http_types::{Request, Response};
 
-use crate::modules::{answer::ForwardedReply, call::ForwardedRequest};
+use crate::modules::{
+    answer::ForwardedReply,
+    call::ForwardedRequest,
+    customers::{Credential, Denial},
+};
 
 /// Minimum delay before a request that found no capacity may be repeated: about the
 /// duration of a few calls.
@@ -22,6 +26,11 @@
     pub path: String,
     /// The request as leaves receive it, without the body.
     pub forwarded: ForwardedRequest,
+    /// Headers that say who the caller is. They are forwarded only if the configuration
+    /// has no customers.
+    pub identity: Vec<(String, String)>,
+    /// How the request identifies its customer.
+    pub credential: Credential,
     /// Body.
     pub body: Vec<u8>,
     /// Time that the caller waits for the answer, if the request gives it.
@@ -48,6 +57,8 @@
     Invalid(String),
     /// No kind matches the request.
     NotFound,
+    /// The request has no key that a customer holds.
+    Unauthorized(Denial),
     /// The request has not run and never will.
     NotRun {
         /// Delay after which it may be repeated.
--- a/crates/guavacourse/src/edge/gateway/queries.rs
+++ b/crates/guavacourse/src/edge/gateway/queries.rs
@@ -1,16 +1,13 @@
 //! Runs queries for peers.
 
-use std::{cell::Cell, rc::Rc};
+use std::{cell::Cell, rc::Rc, sync::Arc};
 
 use super::{
-    query_wire::{self, Reply},
+    query_wire::{self, PeerQuery, Reply},
     requests,
     serve::Traffic,
 };
-use crate::{
-    generated::wire_capnp::{Declined, queries},
-    modules::query::QueryRequest,
-};
+use crate::generated::wire_capnp::{Declined, queries};
 
 /// Runs queries of peers on the traffic thread.
 pub(super) struct QueryServer {
@@ -39,8 +36,8 @@
         params: queries::RunParams,
         mut results: queries::RunResults,
     ) -> capnp::Result<()> {
-        let (request, revision) = query_wire::read_query(params.get()?.get_query()?)?;
-        let reply = self.run_for_peer(request, revision).await;
+        let query = query_wire::read_query(params.get()?.get_query()?)?;
+        let reply = self.run_for_peer(query).await;
         query_wire::write_result(results.get().init_result(), &reply);
         Ok(())
     }
@@ -56,11 +53,21 @@
 
 impl QueryServer {
     /// Runs a query for a peer, or declines it.
-    async fn run_for_peer(&self, request: QueryRequest, revision: u64) -> Reply {
+    async fn run_for_peer(&self, query: PeerQuery) -> Reply {
         let traffic = &self.traffic;
-        if let Some(reason) = self.decline_reason(revision) {
+        if let Some(reason) = self.decline_reason(query.revision) {
             return Reply::Declined(reason);
         }
+        let mut request = query.request;
+        if !query.customer.is_empty() {
+            let view = traffic.view.load();
+            let keyring = view.catalog.customers.as_ref();
+            let customer = keyring.and_then(|keyring| keyring.customer(&query.customer));
+            let Some(customer) = customer else {
+                return Reply::Declined(Declined::Revision);
+            };
+            request.customer = Some(Arc::clone(customer));
+        }
         let _open = traffic.stopping.track_request();
         let _running = Running::new(&traffic.running);
         Reply::Completed(requests::run_locally(traffic, request).await)
--- a/crates/guavacourse/src/edge/gateway/query_wire.rs
+++ b/crates/guavacourse/src/edge/gateway/query_wire.rs
@@ -36,6 +36,9 @@
             .init_services(list_len(request.only_services.len())),
         &request.only_services,
     );
+    if let Some(customer) = &request.customer {
+        out.set_customer(&customer.name);
+    }
     let Some(forward) = &request.forward else {
         return;
     };
@@ -50,8 +53,18 @@
     }
 }
 
-/// Reads a query and the revision under which it was planned.
-pub(super) fn read_query(query: query::Reader<'_>) -> Result<(QueryRequest, u64)> {
+/// A query of a peer.
+pub(super) struct PeerQuery {
+    /// The query, without its customer.
+    pub(super) request: QueryRequest,
+    /// Revision of the configuration under which it was planned.
+    pub(super) revision: u64,
+    /// Name of the customer; empty if it has none.
+    pub(super) customer: String,
+}
+
+/// Reads a query.
+pub(super) fn read_query(query: query::Reader<'_>) -> Result<PeerQuery> {
     let mut headers = Vec::new();
     for header in query.get_headers()? {
         let name = header.get_name()?.to_string()?;
@@ -71,9 +84,14 @@
         body: Arc::from(query.get_body()?),
         forward: Some(Arc::new(forward)),
         age: Duration::from_micros(query.get_age_micros()),
+        customer: None,
         only_services,
     };
-    Ok((request, query.get_revision()))
+    Ok(PeerQuery {
+        request,
+        revision: query.get_revision(),
+        customer: query.get_customer()?.to_string()?,
+    })
 }
 
 /// Writes the result of a query.
@@ -111,7 +129,8 @@
             CallerAnswer::Failed
             | CallerAnswer::Whole(_)
             | CallerAnswer::Invalid(_)
-            | CallerAnswer::NotFound,
+            | CallerAnswer::NotFound
+            | CallerAnswer::Unauthorized(_),
         ) => out.set_failed(()),
     }
 }
--- a/crates/guavacourse/src/edge/gateway/requests.rs
+++ b/crates/guavacourse/src/edge/gateway/requests.rs
@@ -15,8 +15,10 @@
     edge::entry::QueryRunner,
     modules::{
         answer::{Answer, AnswerRows, Failure, Reason, Refusal},
+        catalog::KindEntry,
+        customers::{Credential, Customer},
         quarantine::QUARANTINE_DURATION,
-        query::{MIN_DEADLINE, QueryRequest},
+        query::{MIN_DEADLINE, QueryRequest, allowed_regions},
         view::View,
     },
 };
@@ -41,7 +43,7 @@
 }
 
 /// Forwards a request to leaves, or to a peer that calls them.
-async fn forward(traffic: &Traffic, incoming: CallerRequest) -> CallerAnswer {
+async fn forward(traffic: &Traffic, mut incoming: CallerRequest) -> CallerAnswer {
     let started = traffic.clock.now();
     let view = traffic.view.load();
     if !view.ready() {
@@ -53,6 +55,10 @@
     let Some(kind) = view.catalog.forward_kind(&incoming.host, &incoming.path) else {
         return CallerAnswer::NotFound;
     };
+    let customer = match identify(traffic, &view, kind, &mut incoming) {
+        Ok(customer) => customer,
+        Err(answer) => return answer,
+    };
     let name = kind.rules.name.clone();
     let mut time_limit = incoming.deadline.unwrap_or(kind.rules.deadline);
     if let Some(departure) = traffic.stopping.departure() {
@@ -70,6 +76,7 @@
         body: Arc::from(incoming.body),
         forward: Some(Arc::new(incoming.forwarded)),
         age,
+        customer,
         only_services: Vec::new(),
     };
     let run = async {
@@ -90,6 +97,38 @@
     answer
 }
 
+/// Returns the customer of a request, if the configuration has customers. Leaves then
+/// receive none of the headers by which the caller identified itself.
+///
+/// # Errors
+///
+/// Returns the answer to a request that is refused.
+fn identify(
+    traffic: &Traffic,
+    view: &View,
+    kind: &KindEntry,
+    incoming: &mut CallerRequest,
+) -> Result<Option<Arc<Customer>>, CallerAnswer> {
+    let identity = std::mem::take(&mut incoming.identity);
+    let Some(keyring) = &view.catalog.customers else {
+        incoming.forwarded.headers.extend(identity);
+        return Ok(None);
+    };
+    let forward = kind.rules.forward.as_ref();
+    let anonymous = forward.is_some_and(|forward| forward.anonymous);
+    let found = keyring.identify(&incoming.credential, anonymous);
+    let age = traffic.freshness.age(traffic.clock.now());
+    let has_key = matches!(incoming.credential, Credential::Key(_));
+    if has_key && !traffic.revocation.accepts(age) {
+        let reason = "this process cannot tell whether the key was revoked; repeat elsewhere";
+        return Err(CallerAnswer::not_run(reason));
+    }
+    found.map_err(|denial| {
+        explain::log_denial(traffic, &incoming.forwarded.id, &kind.rules.name, denial);
+        CallerAnswer::Unauthorized(denial)
+    })
+}
+
 /// Sends a query to the peer that should run it.
 ///
 /// # Errors
@@ -102,7 +141,12 @@
 ) -> Result<CallerAnswer, QueryRequest> {
     let sent = traffic.clock.now();
     let kind = view.catalog.kinds.get(&request.kind);
-    let peer = kind.and_then(|kind| traffic.balancer.borrow_mut().peer_for(view, kind, sent));
+    let customer = request.customer.as_deref();
+    let peer = kind.and_then(|kind| {
+        let regions = allowed_regions(&kind.rules, customer);
+        let mut balancer = traffic.balancer.borrow_mut();
+        balancer.peer_for(view, kind, &regions, sent)
+    });
     let Some(peer) = peer else {
         return Err(request);
     };
@@ -189,6 +233,7 @@
         CallerAnswer::Records { missing: 0, .. } | CallerAnswer::Whole(_) => "served",
         CallerAnswer::Records { .. } => "partial",
         CallerAnswer::Invalid(_) | CallerAnswer::NotFound => "invalid",
+        CallerAnswer::Unauthorized(_) => "unauthorized",
         CallerAnswer::NotRun { .. } => "not-run",
         CallerAnswer::Late => "late",
         CallerAnswer::Failed => "failed",
--- a/crates/guavacourse/src/edge/gateway/serve.rs
+++ b/crates/guavacourse/src/edge/gateway/serve.rs
@@ -20,7 +20,8 @@
 
 use super::{
     CallerProtocol, GatewayConfig, call_router::CallRouter, follow::findings::pass_on,
-    listen::Listeners, peers::Peers, queries::QueryServer, requests, stopping::Stopping,
+    freshness::Freshness, listen::Listeners, peers::Peers, queries::QueryServer, requests,
+    stopping::Stopping,
 };
 use crate::{
     edge::{
@@ -34,8 +35,9 @@
         worker::StopSignal,
     },
     modules::{
-        crash_evidence::Finding, delegation, inventory::Address, line_budget::LineBudget,
-        load_balancer::LoadBalancer, view::View, wait_estimator::WaitEstimator,
+        crash_evidence::Finding, customers::Revocation, delegation, inventory::Address,
+        line_budget::LineBudget, load_balancer::LoadBalancer, view::View,
+        wait_estimator::WaitEstimator,
     },
 };
 
@@ -64,6 +66,7 @@
     pub(super) metrics: Metrics,
     /// To the control thread.
     pub(super) findings: Sender<Finding>,
+    pub(super) freshness: Freshness,
 }
 
 /// State that the requests of the thread share.
@@ -77,6 +80,9 @@
     pub(super) line_budget: RefCell<LineBudget>,
     pub(super) entry_metrics: EntryMetrics,
     pub(super) stopping: Stopping,
+    /// When the control thread last knew that it was up to date.
+    pub(super) freshness: Freshness,
+    pub(super) revocation: Revocation,
     /// Peers that run queries for this process.
     pub(super) peers: Rc<Peers>,
     /// Number of queries that run here for peers.
@@ -129,6 +135,8 @@
             line_budget: RefCell::default(),
             entry_metrics: self.entry_metrics,
             stopping: self.stopping,
+            freshness: self.freshness,
+            revocation: self.config.revocation,
             peers,
             running: Cell::new(0),
             max_running: delegation::max_peer_queries(self.config.power),
--- a/crates/guavacourse/src/edge/wire.rs
+++ b/crates/guavacourse/src/edge/wire.rs
@@ -65,6 +65,7 @@
         alone: part.get_alone(),
         canary: part.get_first(),
         forward: None,
+        customer: None,
     })
 }
 
--- a/crates/guavacourse/src/modules/action.rs
+++ b/crates/guavacourse/src/modules/action.rs
@@ -300,6 +300,7 @@
             alone: self.suspected,
             canary: self.canary && !self.suspected,
             forward: None,
+            customer: None,
         };
         let relay = choice.relay;
         vec![Step::Send { relay, part }]
--- a/crates/guavacourse/src/modules/answer.rs
+++ b/crates/guavacourse/src/modules/answer.rs
@@ -139,6 +139,12 @@
     /// The limit of concurrent queries of the kind is reached.
     #[error("not run: there is no room for more queries of kind `{0}`; repeat later, and slower")]
     Overloaded(String),
+    /// Too few shards have a backend server in the regions that the request allows.
+    #[error(
+        "not run: too few backend servers of kind `{0}` are in the regions where it may be \
+         served; allow more regions"
+    )]
+    OutsideRegions(String),
     /// The content has crashed backend servers.
     #[error("not run: this request's content has crashed backend servers; change the request")]
     Quarantined,
--- a/crates/guavacourse/src/modules/call.rs
+++ b/crates/guavacourse/src/modules/call.rs
@@ -6,6 +6,7 @@
 
 use super::{
     catalog::{LeafId, stable_hash},
+    customers::Customer,
     keys::KeyRange,
 };
 
@@ -54,6 +55,8 @@
     pub canary: bool,
     /// The caller's own request, for leaves that take it unchanged.
     pub forward: Option<Arc<ForwardedRequest>>,
+    /// Customer of the caller, if it is known.
+    pub customer: Option<Arc<Customer>>,
 }
 
 /// A caller's request that leaves receive unchanged. Its body is in
--- a/crates/guavacourse/src/modules/catalog.rs
+++ b/crates/guavacourse/src/modules/catalog.rs
@@ -4,6 +4,7 @@
 
 use super::{
     collections::Map,
+    customers::Keyring,
     inventory::{Address, CallerLimits, Class, Config, Instance, Kind, LeafState, Policy},
     keys::KeyRange,
 };
@@ -129,6 +130,8 @@
     pub forwards: Map<String, Vec<(String, String)>>,
     /// Bounds on forwarded requests.
     pub callers: Option<CallerLimits>,
+    /// Customers whose callers must send a key; `None` if callers need none.
+    pub customers: Option<Keyring>,
 }
 
 impl Catalog {
@@ -141,6 +144,7 @@
             policy: config.policy,
             instances: config.instances.clone(),
             callers: config.callers,
+            customers: config.customers.as_deref().map(Keyring::new),
             ..Self::default()
         };
         for dc in &config.data_centres {
@@ -167,6 +171,12 @@
         catalog
     }
 
+    /// Returns the region of a data centre, if it is known.
+    #[must_use]
+    pub fn region(&self, data_centre: &str) -> Option<&String> {
+        self.regions.get(data_centre)
+    }
+
     /// Returns the leaf with identity `id`, if this revision has it.
     #[must_use]
     pub fn leaf(&self, id: LeafId) -> Option<&LeafEntry> {
--- a/crates/guavacourse/src/modules/delegation.rs
+++ b/crates/guavacourse/src/modules/delegation.rs
@@ -13,6 +13,7 @@
 use super::{
     catalog::{KindEntry, LeafId, LeafKey},
     collections::Map,
+    customers::AllowedRegions,
     inventory::{Address, Class},
     members::{Member, MemberState},
     ownership::mix,
@@ -84,11 +85,13 @@
 
     /// Returns the peer in the same data centre that runs a query of a kind, or `None`
     /// if this process runs it itself. A process that has just started may not know
-    /// the leaves of the kind yet; it delegates whatever may be repeated.
+    /// the leaves of the kind yet; it delegates whatever may be repeated. A query that may
+    /// not be served in this region goes to a peer in one where it may.
     pub fn peer_for_query(
         &mut self,
         view: &Arc<View>,
         kind: &KindEntry,
+        regions: &AllowedRegions,
         now: Time,
     ) -> Option<Address> {
         let wide = kind.rules.services.len() >= MIN_SHARDS;
@@ -96,8 +99,16 @@
         if !wide && !leaves_unknown {
             return None;
         }
-        let data_centre = self.own.data_centre.clone();
-        self.choose(view, &data_centre, now)
+        let own = self.own.data_centre.clone();
+        if regions.allows(view.catalog.region(&own)) {
+            return self.choose(view, &[own], now);
+        }
+        let known = view.catalog.regions.iter();
+        let allowed = known.filter(|(_, region)| regions.allows(Some(region)));
+        let allowed: Vec<String> = allowed
+            .map(|(data_centre, _)| data_centre.clone())
+            .collect();
+        self.choose(view, &allowed, now)
     }
 
     /// Returns the peer that runs the part of a query over the `shards` shards whose
@@ -116,20 +127,25 @@
         if shards < MIN_PART_SHARDS || data_centre == self.own.data_centre || !near {
             return None;
         }
-        self.choose(view, data_centre, now)
+        self.choose(view, &[data_centre.to_owned()], now)
     }
 
-    fn choose(&mut self, view: &Arc<View>, data_centre: &str, now: Time) -> Option<Address> {
+    /// Returns the best peer among the strong ones of some data centres.
+    fn choose(&mut self, view: &Arc<View>, data_centres: &[String], now: Time) -> Option<Address> {
         if !Arc::ptr_eq(&self.view, view) {
             self.view = Arc::clone(view);
             self.strong.clear();
         }
-        if !self.strong.contains_key(data_centre) {
-            let strong = self.strong_peers(data_centre);
-            self.strong.insert(data_centre.to_owned(), strong);
+        for data_centre in data_centres {
+            if !self.strong.contains_key(data_centre) {
+                let strong = self.strong_peers(data_centre);
+                self.strong.insert(data_centre.clone(), strong);
+            }
         }
-        let peers = self.strong.get(data_centre)?;
-        let candidates = (0..).zip(peers);
+        let known = data_centres.iter();
+        let peers = known.filter_map(|data_centre| self.strong.get(data_centre));
+        let peers: Vec<Address> = peers.flatten().copied().collect();
+        let candidates = (0..).zip(&peers);
         let mut candidates: Vec<Candidate> = candidates
             .map(|(index, peer)| self.candidate(index, *peer, now))
             .collect();
--- a/crates/guavacourse/src/modules/directory.rs
+++ b/crates/guavacourse/src/modules/directory.rs
@@ -258,6 +258,7 @@
             services: self.services(deployment),
             kinds: deployment.kinds.clone(),
             callers: Some(deployment.callers),
+            customers: deployment.customers.clone(),
             ..Config::default()
         };
         Arc::new(Catalog::new(deployment.version, &config))
--- a/crates/guavacourse/src/modules/directory/records.rs
+++ b/crates/guavacourse/src/modules/directory/records.rs
@@ -5,6 +5,7 @@
 use crate::modules::{
     collections::Map,
     crash_evidence::{CrashReport, CrashedLeaf},
+    customers::Customer,
     inventory::{Address, CallerLimits, Kind},
     members::{Member, MemberState},
 };
@@ -21,6 +22,9 @@
     pub connections: Map<String, u32>,
     /// Bounds on what callers may send.
     pub callers: CallerLimits,
+    /// Customers whose callers must send a key; `None` if callers need none.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub customers: Option<Vec<Customer>>,
 }
 
 /// Entry of a leaf, written by the leaf itself.
--- a/crates/guavacourse/src/modules/forwarding.rs
+++ b/crates/guavacourse/src/modules/forwarding.rs
@@ -40,6 +40,12 @@
     pub forward: Forward,
 }
 
+/// Returns the worth of a request of a rank.
+#[must_use]
+pub fn worth_of_rank(rank: u32) -> u32 {
+    (MAX_WORTH / rank.saturating_add(1)).max(1)
+}
+
 impl From<Route> for Kind {
     /// Derives the rules of the kind. A query whose format joins replies settles
     /// early enough for its answer to meet the target latency.
@@ -50,7 +56,7 @@
             name: route.name,
             class: route.class,
             services: route.services,
-            worth: (MAX_WORTH / (route.rank + 1)).max(1),
+            worth: worth_of_rank(route.rank),
             deadline: route.limit.saturating_sub(LIMIT_MARGIN),
             settle: if settles {
                 target.saturating_sub(NETWORK_TIME)
--- a/crates/guavacourse/src/modules/inventory.rs
+++ b/crates/guavacourse/src/modules/inventory.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::keys::KeyRange;
+use super::{customers::Customer, keys::KeyRange};
 
 /// One revision of the operators' configuration.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -28,6 +28,9 @@
     /// Limits on forwarded requests; those of the settings apply if not given.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub callers: Option<CallerLimits>,
+    /// Customers whose callers must send a key; `None` if callers need none.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub customers: Option<Vec<Customer>>,
 }
 
 /// Limits on the size and duration of callers' requests.
@@ -236,6 +239,11 @@
     /// caller.
     #[serde(with = "humantime_serde")]
     pub target: Duration,
+    /// Whether callers need no key.
+    pub anonymous: bool,
+    /// Regions in which requests may be served; empty allows all.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub regions: Vec<String>,
 }
 
 /// Whether requests of a kind may be repeated.
--- a/crates/guavacourse/src/modules/load_balancer.rs
+++ b/crates/guavacourse/src/modules/load_balancer.rs
@@ -10,6 +10,7 @@
     catalog::{KindEntry, LeafEntry, LeafId, LeafKey, ShardKey},
     cleared::ClearedContents,
     collections::Map,
+    customers::AllowedRegions,
     delegation::Delegation,
     extra::{ExtraBudgets, ExtraLimits, ExtraReason},
     hedge::{self, Pressure},
@@ -149,9 +150,11 @@
         &mut self,
         view: &Arc<View>,
         kind: &KindEntry,
+        regions: &AllowedRegions,
         now: Time,
     ) -> Option<Address> {
-        self.peers.as_mut()?.peer_for_query(view, kind, now)
+        let peers = self.peers.as_mut()?;
+        peers.peer_for_query(view, kind, regions, now)
     }
 
     /// Returns the services that the next request of a kind calls: all of them, or
@@ -212,7 +215,8 @@
     /// of the leaf remains, the one that has been down longest is used.
     #[must_use]
     pub fn choices(&self, view: &View, shard: ShardKey, now: Time) -> Vec<Choice> {
-        self.routed_all(view, &self.ranked(view, shard, now), now)
+        let regions = AllowedRegions::default();
+        self.routed_all(view, &self.ranked(view, shard, &regions, now), now)
     }
 
     /// Returns the same leaves as [`Self::choices`], in an order that depends on
@@ -225,11 +229,9 @@
         content: u64,
         now: Time,
     ) -> Vec<Choice> {
-        self.routed_all(
-            view,
-            &self.ranked_by_content(view, shard, content, now),
-            now,
-        )
+        let regions = AllowedRegions::default();
+        let ranked = self.ranked_by_content(view, shard, &regions, content, now);
+        self.routed_all(view, &ranked, now)
     }
 
     /// Counts a reply that belongs to no pending attempt.
@@ -283,10 +285,11 @@
         &self,
         view: &View,
         slot: &Slot,
+        regions: &AllowedRegions,
         version: u64,
         now: Time,
     ) -> Option<Choice> {
-        let ranked = self.ranked(view, slot.shard, now);
+        let ranked = self.ranked(view, slot.shard, regions, now);
         self.first_untried(view, ranked, slot, version, now)
     }
 
@@ -297,11 +300,12 @@
         &self,
         view: &View,
         slot: &Slot,
+        regions: &AllowedRegions,
         content: u64,
         version: u64,
         now: Time,
     ) -> Option<Choice> {
-        let ranked = self.ranked_by_content(view, slot.shard, content, now);
+        let ranked = self.ranked_by_content(view, slot.shard, regions, content, now);
         self.first_untried(view, ranked, slot, version, now)
     }
 
@@ -418,11 +422,20 @@
 
     /// Returns when the first leaf of a shard takes a call again; `None` if one does
     /// now, or if there is none.
-    pub(crate) fn shard_opens_at(&self, view: &View, shard: ShardKey, now: Time) -> Option<Time> {
+    pub(crate) fn shard_opens_at(
+        &self,
+        view: &View,
+        shard: ShardKey,
+        regions: &AllowedRegions,
+        now: Time,
+    ) -> Option<Time> {
         let shard = view.catalog.shards.get(shard)?;
         let leaves = shard.replicas.iter().map(|key| &view.catalog.leaves[*key]);
-        let serving = leaves
-            .filter(|leaf| leaf.state == LeafState::Serving && !view.leaving.contains(&leaf.id));
+        let serving = leaves.filter(|leaf| {
+            leaf.state == LeafState::Serving
+                && !view.leaving.contains(&leaf.id)
+                && regions.allows(view.catalog.region(&leaf.data_centre))
+        });
         let opens = serving.map(|leaf| self.opens_at(leaf.id, now).unwrap_or(now));
         opens.min().filter(|opens| *opens > now)
     }
@@ -508,7 +521,13 @@
         }
     }
 
-    fn ranked(&self, view: &View, shard: ShardKey, now: Time) -> Vec<Candidate> {
+    fn ranked(
+        &self,
+        view: &View,
+        shard: ShardKey,
+        regions: &AllowedRegions,
+        now: Time,
+    ) -> Vec<Candidate> {
         let Some(shard) = view.catalog.shards.get(shard) else {
             return Vec::new();
         };
@@ -517,6 +536,7 @@
             let leaf = &view.catalog.leaves[*key];
             leaf.state == LeafState::Serving
                 && !view.leaving.contains(&leaf.id)
+                && regions.allows(view.catalog.region(&leaf.data_centre))
                 && self.opens_at(leaf.id, now).is_none()
         });
         let mut ranked: Vec<Candidate> = serving
@@ -538,10 +558,11 @@
         &self,
         view: &View,
         shard: ShardKey,
+        regions: &AllowedRegions,
         content: u64,
         now: Time,
     ) -> Vec<Candidate> {
-        let mut ranked = self.ranked(view, shard, now);
+        let mut ranked = self.ranked(view, shard, regions, now);
         ranked.sort_by_key(|candidate| mix(content ^ candidate.id.0));
         ranked
     }
--- a/crates/guavacourse/src/modules/query.rs
+++ b/crates/guavacourse/src/modules/query.rs
@@ -26,6 +26,7 @@
     call::{AttemptId, ForwardedRequest, NotRun, Outcome, Part, Reply, Unknown, fingerprint},
     catalog::stable_hash,
     coverage::CoverageTally,
+    customers::{AllowedRegions, Customer},
     exposure::Exposure,
     inventory::{Address, Format, Policy},
     load_balancer::LoadBalancer,
@@ -34,6 +35,8 @@
     view::View,
 };
 
+pub use self::admission::allowed_regions;
+
 /// A caller's query.
 #[derive(Clone, Debug)]
 pub struct QueryRequest {
@@ -49,6 +52,8 @@
     pub forward: Option<Arc<ForwardedRequest>>,
     /// Time that the caller has already waited.
     pub age: Duration,
+    /// Customer of the caller, if it is known.
+    pub customer: Option<Arc<Customer>>,
     /// Indexes of the requested services in the kind's list, if a peer runs the
     /// other parts of the query; empty requests all services.
     pub only_services: Vec<u16>,
@@ -128,6 +133,8 @@
     late_after: Option<Duration>,
     /// Whether the caller's original request is forwarded to leaves.
     forwarded: bool,
+    /// Regions whose leaves may be called.
+    regions: AllowedRegions,
 }
 
 /// A query in progress.
@@ -189,6 +196,17 @@
             return Err(Refusal::Overloaded(request.kind));
         }
         let slots = plan_slots(&view, kind, &params.services);
+        let planned = slots.len().max(params.services.len());
+        let reachable = |slot: &Slot| admission::is_reachable(&view, slot.shard, &params.regions);
+        let unreachable: Vec<usize> = (0..slots.len())
+            .filter(|index| !reachable(&slots[*index]))
+            .collect();
+        if ratio(slots.len() - unreachable.len(), planned) < params.min_coverage
+            && params.regions.restricted()
+        {
+            balancer.kind(&request.kind).throttle.ended();
+            return Err(Refusal::OutsideRegions(request.kind));
+        }
         let tally = CoverageTally::new(&params.services);
         let stats = balancer.kind(&request.kind);
         let calls = u32::try_from(slots.len()).unwrap_or(u32::MAX);
@@ -224,6 +242,9 @@
             finished: false,
         };
         let mut ctx = EventContext::new(balancer, now);
+        for slot in unreachable {
+            query.close(slot);
+        }
         query.plan_canary(canary, &ctx);
         query.call_all(Cause::First, &mut ctx);
         query.trace.pinned = query.pin.version;
--- a/crates/guavacourse/src/modules/query/admission.rs
+++ b/crates/guavacourse/src/modules/query/admission.rs
@@ -5,8 +5,10 @@
 use super::{QueryParams, QueryRequest};
 use crate::modules::{
     answer::Refusal,
-    catalog::KindEntry,
-    inventory::{Class, Kind, Policy},
+    catalog::{KindEntry, ShardKey},
+    customers::{AllowedRegions, Customer},
+    forwarding::worth_of_rank,
+    inventory::{Class, Kind, LeafState, Policy},
     time::Time,
     view::View,
 };
@@ -75,12 +77,15 @@
     let age = target.map_or(Duration::ZERO, |target| effective_age(request.age, target));
     let asked = request.deadline.unwrap_or(rules.deadline);
     let policy = view.catalog.policy;
+    let customer = request.customer.as_deref();
     let settles = policy == Policy::Adaptive && !rules.settle.is_zero();
     QueryParams {
         deadline: now.after(asked.min(rules.deadline)),
         settle_at: settles.then(|| now.after(rules.settle.saturating_sub(age))),
         min_coverage: request.least_coverage.unwrap_or(rules.least_coverage),
-        worth: rules.worth,
+        worth: customer
+            .and_then(|customer| customer.rank)
+            .map_or(rules.worth, worth_of_rank),
         policy,
         format: rules.format,
         services,
@@ -91,9 +96,37 @@
         }),
         late_after: target.map(|target| target.mul_f64(LATE_FRACTION)),
         forwarded: request.forward.is_some(),
+        regions: allowed_regions(rules, customer),
     }
 }
 
+/// Returns the regions in which the requests of a kind and a customer may be served.
+#[must_use]
+pub fn allowed_regions(rules: &Kind, customer: Option<&Customer>) -> AllowedRegions {
+    let kind = rules.forward.as_ref().map(|forward| &forward.regions);
+    let customer = customer.map(|customer| &customer.regions);
+    AllowedRegions::in_both(
+        kind.map_or(&[], Vec::as_slice),
+        customer.map_or(&[], Vec::as_slice),
+    )
+}
+
+/// Returns whether a shard has a leaf in the allowed regions. A shard without
+/// restriction always counts: its leaves may register later.
+pub(super) fn is_reachable(view: &View, shard: ShardKey, regions: &AllowedRegions) -> bool {
+    if !regions.restricted() {
+        return true;
+    }
+    let catalog = &view.catalog;
+    let Some(shard) = catalog.shards.get(shard) else {
+        return false;
+    };
+    let leaves = shard.replicas.iter().map(|key| &catalog.leaves[*key]);
+    let mut serving =
+        leaves.filter(|leaf| leaf.state == LeafState::Serving && !view.leaving.contains(&leaf.id));
+    serving.any(|leaf| regions.allows(catalog.region(&leaf.data_centre)))
+}
+
 /// Returns the age that shortens a request's target: zero if the request is too
 /// old to meet it.
 fn effective_age(age: Duration, target: Duration) -> Duration {
--- a/crates/guavacourse/src/modules/query/calls.rs
+++ b/crates/guavacourse/src/modules/query/calls.rs
@@ -193,7 +193,9 @@
         for (slot, choice) in self.slots.iter().zip(&mut chosen) {
             let lacks = |choice: &Choice| !ctx.balancer.may_hold(choice.id, version, ctx.now);
             if choice.as_ref().is_some_and(lacks) {
-                *choice = ctx.balancer.choose(&self.view, slot, version, ctx.now);
+                *choice =
+                    ctx.balancer
+                        .choose(&self.view, slot, &self.params.regions, version, ctx.now);
             }
         }
         if self.canary != Canary::Inactive {
@@ -224,7 +226,10 @@
     /// takes one. Closes the slot if that is too late for the caller.
     fn await_opening(&mut self, index: usize, ctx: &mut EventContext<'_>) {
         let shard = self.slots[index].shard;
-        let Some(opens) = ctx.balancer.shard_opens_at(&self.view, shard, ctx.now) else {
+        let Some(opens) =
+            ctx.balancer
+                .shard_opens_at(&self.view, shard, &self.params.regions, ctx.now)
+        else {
             return;
         };
         if opens > self.params.latest_opening {
@@ -249,10 +254,17 @@
         let (slot, version) = (&self.slots[index], self.pin.version);
         if self.content_unproven() {
             let content = self.trace.fingerprint;
-            ctx.balancer
-                .choose_by_content(&self.view, slot, content, version, ctx.now)
+            ctx.balancer.choose_by_content(
+                &self.view,
+                slot,
+                &self.params.regions,
+                content,
+                version,
+                ctx.now,
+            )
         } else {
-            ctx.balancer.choose(&self.view, slot, version, ctx.now)
+            ctx.balancer
+                .choose(&self.view, slot, &self.params.regions, version, ctx.now)
         }
     }
 
@@ -264,7 +276,10 @@
 
     fn choose_all(&self, ctx: &EventContext<'_>) -> Vec<Option<Choice>> {
         let version = self.pin.version;
-        let choose = |slot| ctx.balancer.choose(&self.view, slot, version, ctx.now);
+        let choose = |slot| {
+            ctx.balancer
+                .choose(&self.view, slot, &self.params.regions, version, ctx.now)
+        };
         self.slots.iter().map(choose).collect()
     }
 
@@ -341,6 +356,7 @@
             alone: self.suspicion.testing(),
             canary: self.canary != Canary::Inactive && !self.suspicion.testing(),
             forward: self.request.forward.clone(),
+            customer: self.request.customer.clone(),
         }
     }
 
--- a/crates/guavacourse/tests/delegation.rs
+++ b/crates/guavacourse/tests/delegation.rs
@@ -4,6 +4,7 @@
 
 use guavacourse::modules::{
     catalog::Catalog,
+    customers::AllowedRegions,
     delegation::Delegation,
     inventory::{Address, Class, Config, Kind, Leaf, Service},
     keys::KEY_SPACE,
@@ -66,7 +67,10 @@
 fn delegates(own: &Member, view: &Arc<View>, kind: &str) -> bool {
     let mut delegation = Delegation::new(own.clone());
     let kind = &view.catalog.kinds[kind];
-    delegation.peer_for_query(view, kind, Time(1)).is_some()
+    let regions = AllowedRegions::default();
+    delegation
+        .peer_for_query(view, kind, &regions, Time(1))
+        .is_some()
 }
 
 #[test]
--- a/crates/guavacourse/tests/policy/simulation.rs
+++ b/crates/guavacourse/tests/policy/simulation.rs
@@ -224,6 +224,7 @@
             body: Arc::from(&b"{}"[..]),
             forward: None,
             age: Duration::ZERO,
+            customer: None,
             only_services: Vec::new(),
         };
         let view = Arc::clone(&self.view);
--- a/crates/guavacourse/tests/query/fixture.rs
+++ b/crates/guavacourse/tests/query/fixture.rs
@@ -324,6 +324,7 @@
         body: Arc::from(&b"{}"[..]),
         forward: None,
         age: Duration::ZERO,
+        customer: None,
         only_services: Vec::new(),
     }
 }
