--- a/crates/daemons/src/measure/core.rs
+++ b/crates/daemons/src/measure/core.rs
@@ -200,6 +200,7 @@
             queued: 0,
             service: Duration::from_micros(300),
             retry_after: Duration::ZERO,
+            load: None,
             outcome: Outcome::Rows(rows),
         })
     });
--- a/crates/guavacourse/src/edge/entry/relay_sessions.rs
+++ b/crates/guavacourse/src/edge/entry/relay_sessions.rs
@@ -333,6 +333,7 @@
         queued: 0,
         service: Duration::ZERO,
         retry_after: Duration::ZERO,
+        load: None,
         outcome,
     }
 }
--- a/crates/guavacourse/src/edge/gateway/call_router.rs
+++ b/crates/guavacourse/src/edge/gateway/call_router.rs
@@ -206,6 +206,7 @@
         queued: 0,
         service: Duration::ZERO,
         retry_after: Duration::ZERO,
+        load: None,
         outcome,
     }
 }
--- a/crates/guavacourse/src/edge/wire.rs
+++ b/crates/guavacourse/src/edge/wire.rs
@@ -127,6 +127,7 @@
         queued: reply.get_queued(),
         service: Duration::from_micros(reply.get_service_micros()),
         retry_after: Duration::from_micros(reply.get_retry_micros()),
+        load: None,
         outcome,
     })
 }
--- a/crates/guavacourse/src/modules/admission.rs
+++ b/crates/guavacourse/src/modules/admission.rs
@@ -101,6 +101,7 @@
                 part: Arc::clone(&part),
                 deadline,
                 alone: false,
+                load: None,
                 resumes: false,
                 duplicate: false,
                 held_until: Time(0),
@@ -385,6 +386,7 @@
             queued: u32::try_from(waiting).unwrap_or(u32::MAX),
             service,
             retry_after: Duration::ZERO,
+            load: job.load,
             outcome,
         }
     }
--- a/crates/guavacourse/src/modules/admission/job.rs
+++ b/crates/guavacourse/src/modules/admission/job.rs
@@ -9,6 +9,7 @@
     catalog::LeafId,
     crash_evidence::Finding,
     leaf_notice::LeafEvent,
+    placement::load_report::LoadReport,
     time::{Time, micros},
 };
 
@@ -38,6 +39,8 @@
     pub deadline: Time,
     /// Whether it runs with nothing else on its leaf.
     pub alone: bool,
+    /// Load that the leaf reported with its answer.
+    pub(super) load: Option<LoadReport>,
     /// Whether it is the first call after a pause of its leaf, whose answer tells whether
     /// the leaf wants another.
     pub(super) resumes: bool,
--- a/crates/guavacourse/src/modules/admission/notices.rs
+++ b/crates/guavacourse/src/modules/admission/notices.rs
@@ -137,12 +137,13 @@
 impl Admission {
     /// Handles the notice in the answer to a call, before the end of its exchange.
     pub fn notice(&mut self, key: JobKey, notice: LeafNotice, now: Time) {
-        let Some(job) = self.jobs.get(key) else {
+        let Some(job) = self.jobs.get_mut(key) else {
             return;
         };
         let Phase::Running { since, .. } = job.phase else {
             return;
         };
+        job.load = notice.load;
         let leaf = job.call.leaf;
         if notice.malformed {
             self.note(leaf, |leaf| LeafEvent::Malformed { leaf });
--- a/crates/guavacourse/src/modules/call.rs
+++ b/crates/guavacourse/src/modules/call.rs
@@ -8,6 +8,7 @@
     catalog::{LeafId, stable_hash},
     customers::Customer,
     keys::KeyRange,
+    placement::load_report::LoadReport,
 };
 
 /// Index version of leaves that report none.
@@ -108,6 +109,8 @@
     /// Time after which the leaf, which did not run the call, takes the next one; zero if
     /// it asked for nothing.
     pub retry_after: Duration,
+    /// Load that the leaf reported with its answer.
+    pub load: Option<LoadReport>,
     /// How the attempt ended.
     pub outcome: Outcome,
 }
--- a/crates/guavacourse/src/modules/leaf_notice.rs
+++ b/crates/guavacourse/src/modules/leaf_notice.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use super::placement::load_report::LoadReport;
+
 /// Longest pause that is kept to; of a longer one, so much.
 pub const MAX_PAUSE: Duration = Duration::from_mins(10);
 
@@ -14,6 +16,8 @@
     pub limit: Option<f64>,
     /// Time for which the leaf wants no calls, if it turned this one away.
     pub pause: Option<Duration>,
+    /// Its load.
+    pub load: Option<LoadReport>,
     /// Whether it said something that cannot be read.
     pub malformed: bool,
 }
--- a/crates/guavacourse/src/modules/load_balancer.rs
+++ b/crates/guavacourse/src/modules/load_balancer.rs
@@ -377,6 +377,9 @@
         }
         let stats = self.leaves.entry(attempt.leaf).or_default();
         stats.pending = stats.pending.saturating_sub(1);
+        if let Some(load) = reply.load {
+            stats.report_load(load, now);
+        }
         let mut overloaded = false;
         match &reply.outcome {
             Outcome::Rows(rows) => {
--- a/crates/guavacourse/src/modules/replicas.rs
+++ b/crates/guavacourse/src/modules/replicas.rs
@@ -5,6 +5,7 @@
 use super::{
     catalog::{LeafId, LeafKey},
     latency::LatencyHistogram,
+    placement::load_report::LoadReport,
     snapshot::KnownVersions,
     time::{Time, micros},
 };
@@ -66,6 +67,8 @@
     avoid_until: Time,
     versions: KnownVersions,
     versions_updated: Time,
+    /// Load that the leaf reported last, and when.
+    load: Option<(LoadReport, Time)>,
 }
 
 impl LeafStats {
@@ -102,6 +105,17 @@
         probe
     }
 
+    /// Records the load that the leaf reported.
+    pub fn report_load(&mut self, load: LoadReport, now: Time) {
+        self.load = Some((load, now));
+    }
+
+    /// Returns the load that the leaf reported last, and its age.
+    #[must_use]
+    pub fn reported_load(&self, now: Time) -> Option<(LoadReport, Duration)> {
+        self.load.map(|(load, at)| (load, now.since(at)))
+    }
+
     /// Records that the leaf takes no call before `until`.
     pub fn close(&mut self, until: Time) {
         self.closed_until = until;
--- a/crates/guavacourse/tests/action.rs
+++ b/crates/guavacourse/tests/action.rs
@@ -77,6 +77,7 @@
         queued: 0,
         service: Duration::ZERO,
         retry_after: Duration::ZERO,
+        load: None,
         outcome,
     }
 }
--- a/crates/guavacourse/tests/at_most_once/state/execution.rs
+++ b/crates/guavacourse/tests/at_most_once/state/execution.rs
@@ -156,6 +156,7 @@
             queued: 0,
             service: Duration::ZERO,
             retry_after: Duration::ZERO,
+            load: None,
             outcome,
         };
         let now = Time(entry.clock);
--- a/crates/guavacourse/tests/policy/simulation.rs
+++ b/crates/guavacourse/tests/policy/simulation.rs
@@ -458,6 +458,7 @@
             queued: call.queued,
             service: call.service,
             retry_after: Duration::ZERO,
+            load: None,
             outcome: call.outcome.expect("the call has ended"),
         };
         let Some(active) = self.queries.get_mut(&call.query) else {
--- a/crates/guavacourse/tests/query/deferred.rs
+++ b/crates/guavacourse/tests/query/deferred.rs
@@ -48,6 +48,7 @@
         queued: 0,
         service: Duration::ZERO,
         retry_after: Duration::from_millis(retry_after),
+        load: None,
         outcome: Outcome::NotRun(NotRun::Deferred),
     };
     driver.reply_with(reply);
--- a/crates/guavacourse/tests/query/fixture.rs
+++ b/crates/guavacourse/tests/query/fixture.rs
@@ -217,6 +217,7 @@
             queued: 0,
             service: Duration::from_millis(1),
             retry_after: Duration::ZERO,
+            load: None,
             outcome,
         };
         self.reply_with(reply);
