--- a/crates/guavacourse/src/edge/gateway/follow.rs
+++ b/crates/guavacourse/src/edge/gateway/follow.rs
@@ -136,7 +136,9 @@
         let config = &setup.config;
         Self {
             readers: Readers::new(&config.instance, &config.data_centre, config.max_delay),
-            directory: Directory::new(&config.instance, config.regions.clone()).into(),
+            directory: Directory::new(&config.instance, config.regions.clone())
+                .with_drain(config.drain)
+                .into(),
             journal: Journal::new(fastrand::u64(1..)).into(),
             sources: Sources::new(executor),
             waiters: RefCell::default(),
@@ -208,6 +210,7 @@
 
     /// Reads the whole registry, or waits once for changes after what was read.
     async fn read_registry(&self, state: &mut ReadState, wait: Duration) {
+        let started = self.setup.clock.now();
         let read = match state.after {
             None => self.registry.read().await,
             Some(after) => self.registry.watch(after, wait).await,
@@ -218,7 +221,13 @@
                 let whole = state.after.is_none();
                 let changed = !reading.changes.is_empty();
                 state.after = state.after.max(Some(reading.as_of));
-                self.apply_reading(reading, whole, self.setup.clock.now());
+                // Changes made during a reading of several pages may be missing from it.
+                let fresh_at = if whole {
+                    started
+                } else {
+                    self.setup.clock.now()
+                };
+                self.apply_reading(reading, whole, fresh_at);
                 if changed {
                     Timer::after(BATCH_DELAY).await;
                 }
@@ -245,6 +254,8 @@
     /// `whole` says that it holds the whole registry, not only changes.
     fn apply_reading(&self, reading: RegistryReading, whole: bool, fresh_at: Time) {
         self.revision.set(self.revision.get().max(reading.as_of));
+        let known = self.fresh_at.get();
+        self.directory.borrow_mut().set_known_at(known);
         self.fresh_at.set(self.fresh_at.get().max(Some(fresh_at)));
         self.setup.freshness.record(fresh_at);
         if whole {
@@ -342,6 +353,9 @@
             adopted: if newer { now } else { held.adopted },
             entries: directory.members().cloned().collect(),
             relays: vec![own],
+            draining: directory.draining(),
+            drain_period: directory.drain_period(),
+            cold: directory.cold_leaves(),
             incarnations: directory.incarnations(),
             quarantined: directory.crashes().quarantined(),
             suspected: directory.crashes().suspected(),
--- a/crates/guavacourse/src/edge/gateway/follow/events.rs
+++ b/crates/guavacourse/src/edge/gateway/follow/events.rs
@@ -26,6 +26,13 @@
             ?leaves,
             "request content crashes leaves and is quarantined"
         ),
+        DirectoryEvent::Evacuated { data_centre } => tracing::info!(
+            data_centre,
+            "a data centre is evacuated; its leaves get no calls"
+        ),
+        DirectoryEvent::EvacuationEnded { data_centre } => {
+            tracing::info!(data_centre, "the evacuation of a data centre has ended")
+        }
         DirectoryEvent::Unreadable { key, fault } => tracing::warn!(
             key,
             fault,
--- a/crates/guavacourse/src/edge/gateway/mod.rs
+++ b/crates/guavacourse/src/edge/gateway/mod.rs
@@ -87,6 +87,8 @@
     pub grace: Duration,
     /// How soon a revoked key must be refused.
     pub revocation: Revocation,
+    /// Time for which a leaf serves after it has announced that it leaves.
+    pub drain: Duration,
 }
 
 impl GatewayConfig {
--- a/crates/guavacourse/src/modules/admission.rs
+++ b/crates/guavacourse/src/modules/admission.rs
@@ -289,7 +289,7 @@
             }
             Verdict::Clear => {}
         }
-        if gate.leaving() {
+        if gate.refuses(now) {
             return Some(NotRun::Draining);
         }
         if gate.opens_at(now).is_some() {
@@ -426,12 +426,14 @@
         if gate.draining && listed_incarnation != 0 && !seen {
             gate.reset(listed_incarnation);
         }
-        let leaving = gate.leaving();
+        gate.serves_until = serves_until(&view, leaf, gate);
+        let refuses = gate.refuses(now);
         self.share_limit(leaf, now);
+        self.limit_cold(leaf, now);
         if address_changed {
             self.close_kept(leaf);
         }
-        if leaving {
+        if refuses {
             self.refuse_waiting(leaf, NotRun::Draining);
         } else {
             self.start_waiting(leaf, now);
@@ -449,6 +451,17 @@
     }
 }
 
+/// Returns until when a leaf that is leaving may be called. That is used only where the
+/// load of leaves is known or customers share them.
+fn serves_until(view: &View, leaf: LeafId, gate: &Gate) -> Option<Time> {
+    let enabled = gate.reports_pace || view.catalog.customers.is_some();
+    let listed = view.draining.get(&leaf).copied().filter(|_| enabled)?;
+    Some(
+        gate.said_leaving
+            .map_or(listed, |said| view.drain_period.end(said).min(listed)),
+    )
+}
+
 /// Settings of a leaf's service, and the number of its leaves.
 struct ServiceInfo {
     name: String,
--- a/crates/guavacourse/src/modules/admission/gate.rs
+++ b/crates/guavacourse/src/modules/admission/gate.rs
@@ -77,6 +77,15 @@
     pub(super) pause: Option<Pause>,
     /// Whether the leaf, in its current incarnation, reported that it is draining.
     pub(super) draining: bool,
+    /// When the leaf first said in an answer that it is leaving.
+    pub(super) said_leaving: Option<Time>,
+    /// Until when the leaf may be called although it is leaving; the earliest that any
+    /// source allows.
+    pub(super) serves_until: Option<Time>,
+    /// Whether the leaf's machine reports its pace.
+    pub(super) reports_pace: bool,
+    /// Limit on its calls while it is cold.
+    pub(super) warm_up: Option<NamedLimit>,
     /// Whether the instance list reports the leaf as leaving.
     pub(super) listed_leaving: bool,
     /// State set in the configuration by operators.
@@ -117,6 +126,10 @@
             named_limit: None,
             pause: None,
             draining: false,
+            said_leaving: None,
+            serves_until: None,
+            reports_pace: false,
+            warm_up: None,
             listed_leaving: false,
             state: LeafState::Serving,
             trial: None,
@@ -134,6 +147,11 @@
         self.draining || self.listed_leaving || self.state == LeafState::Leaving
     }
 
+    /// Returns whether the leaf takes no calls because it is leaving.
+    pub(super) fn refuses(&self, now: Time) -> bool {
+        self.leaving() && self.serves_until.is_none_or(|until| now >= until)
+    }
+
     /// Returns whether a call may start now.
     pub(super) fn may_start(&self, adaptive: bool, now: Time) -> bool {
         let allowed = if adaptive {
@@ -256,6 +274,8 @@
         self.past_incarnations.drain(..surplus);
         self.incarnation = incarnation;
         self.draining = false;
+        self.serves_until = None;
+        self.said_leaving = None;
         self.named_limit = None;
         self.pause = None;
         self.limit.reset();
--- a/crates/guavacourse/src/modules/admission/notices.rs
+++ b/crates/guavacourse/src/modules/admission/notices.rs
@@ -107,6 +107,7 @@
     /// Returns when the leaf takes the next call; `None` if it takes one now.
     pub(super) fn opens_at(&self, now: Time) -> Option<Time> {
         let limit = self.named_limit.map(|limit| limit.opens_at());
+        let limit = limit.max(self.warm_up.map(|limit| limit.opens_at()));
         let pause = self.pause.map(|pause| pause.until);
         limit.max(pause).filter(|next| *next > now)
     }
@@ -123,13 +124,15 @@
     }
 
     fn use_permit(&mut self, now: Time) {
-        let Some(limit) = &mut self.named_limit else {
-            return;
-        };
-        if now >= limit.lifted_at {
-            self.named_limit = None;
-        } else if let Some(own) = &mut limit.own {
-            own.take(now);
+        for limit in [&mut self.named_limit, &mut self.warm_up] {
+            let Some(known) = limit else {
+                continue;
+            };
+            if now >= known.lifted_at {
+                *limit = None;
+            } else if let Some(own) = &mut known.own {
+                own.take(now);
+            }
         }
     }
 }
@@ -145,11 +148,14 @@
         };
         job.load = notice.load;
         let leaf = job.call.leaf;
+        if let Some(gate) = self.gates.get_mut(&leaf) {
+            gate.reports_pace |= notice.load.is_some_and(|load| load.pace.is_some());
+        }
         if notice.malformed {
             self.note(leaf, |leaf| LeafEvent::Malformed { leaf });
         }
         if notice.leaving {
-            self.leave_leaf(leaf);
+            self.leave_leaf(leaf, now);
         }
         match notice.pause {
             Some(pause) => self.start_pause(leaf, pause, now),
@@ -161,14 +167,22 @@
         }
     }
 
-    /// Sends nothing more to a leaf that says it is leaving, until its next incarnation.
-    fn leave_leaf(&mut self, leaf: LeafId) {
+    /// Sends nothing more to a leaf that says it is leaving, until its next incarnation,
+    /// unless it may still be called for a while.
+    fn leave_leaf(&mut self, leaf: LeafId, now: Time) {
         if self.gates.get(&leaf).is_none_or(|gate| gate.draining) {
             return;
         }
         self.note(leaf, |leaf| LeafEvent::Leaving { leaf });
         self.mark_draining(leaf);
-        self.refuse_waiting(leaf, NotRun::Draining);
+        let Some(gate) = self.gates.get_mut(&leaf) else {
+            return;
+        };
+        gate.said_leaving.get_or_insert(now);
+        gate.serves_until = super::serves_until(&self.view, leaf, gate);
+        if gate.refuses(now) {
+            self.refuse_waiting(leaf, NotRun::Draining);
+        }
     }
 
     /// Sends nothing to a leaf that wants no calls, until its pause is over. The end
@@ -256,6 +270,31 @@
         }
     }
 
+    /// Starts, adapts or ends the limit of a leaf that is cold.
+    pub(super) fn limit_cold(&mut self, leaf: LeafId, now: Time) {
+        let cold = self.view.cold.get(&leaf).copied();
+        let cold = cold.filter(|cold| now < cold.until);
+        let Some(gate) = self.gates.get_mut(&leaf) else {
+            return;
+        };
+        let Some(cold) = cold else {
+            gate.warm_up = None;
+            return;
+        };
+        let share = own_share(&self.view, leaf, gate, cold.rate);
+        let draw = mix(leaf.0 ^ now.0);
+        let mut limit = gate
+            .warm_up
+            .unwrap_or_else(|| NamedLimit::new(cold.rate, share, draw, now));
+        limit.total = cold.rate;
+        limit.adapt(share, draw, now);
+        limit.lifted_at = cold.until;
+        gate.warm_up = Some(limit);
+        if gate.opens_at(now).is_some() {
+            self.defer_waiting(leaf, now);
+        }
+    }
+
     /// Refuses a call to a leaf that takes none now, and says when it takes the next.
     pub(super) fn defer(&mut self, job: &Job, now: Time) {
         self.counts.refused += 1;
--- a/crates/guavacourse/src/modules/admission/outcome.rs
+++ b/crates/guavacourse/src/modules/admission/outcome.rs
@@ -213,8 +213,11 @@
         }
         if answer.draining {
             self.mark_draining(leaf);
+            if let Some(gate) = self.gates.get_mut(&leaf) {
+                gate.serves_until = None;
+            }
         }
-        if self.gates.get(&leaf).is_some_and(Gate::leaving) {
+        if self.gates.get(&leaf).is_some_and(|gate| gate.refuses(now)) {
             self.refuse_waiting(leaf, NotRun::Draining);
         }
     }
--- a/crates/guavacourse/src/modules/admission/queue.rs
+++ b/crates/guavacourse/src/modules/admission/queue.rs
@@ -86,6 +86,9 @@
             if gate.waiting() > 0 && gate.opens_at(now).is_some() {
                 return self.defer_waiting(leaf, now);
             }
+            if gate.waiting() > 0 && gate.refuses(now) {
+                return self.refuse_waiting(leaf, NotRun::Draining);
+            }
             if !gate.may_start(adaptive, now) {
                 return;
             }
--- a/crates/guavacourse/src/modules/directory.rs
+++ b/crates/guavacourse/src/modules/directory.rs
@@ -23,6 +23,7 @@
     inventory::{Config, DataCentre, Format, Leaf, LeafState, Service},
     keys::KEY_SPACE,
     members::{Member, MemberState},
+    placement::{draining::DrainPeriod, warm_up::ColdLeaf},
     shares::Shares,
     time::Time,
 };
@@ -38,6 +39,10 @@
 /// not rounded down to the one below.
 const ROUNDING_MARGIN: f64 = 1e-6;
 
+/// Time by which the end of a leaf's cold period may move before that is a change: the
+/// leaf tells how much is left, with a delay that varies.
+const COLD_TOLERANCE: Duration = Duration::from_millis(500);
+
 /// Connections that one leaf accepts from the whole fleet, if the configuration
 /// does not set them.
 const DEFAULT_CONNECTIONS: u32 = 16;
@@ -55,6 +60,14 @@
     crashes: CrashEvidence,
     /// When the registry last could not be read.
     outage: Option<Time>,
+    /// When the state was last known to be up to date, before the changes that are
+    /// applied next.
+    known_at: Option<Time>,
+    /// How long leaves that leave may still be called.
+    drain: DrainPeriod,
+    /// Evacuated data centres, each with the time at which it no longer counts as
+    /// evacuated if its entry is missing after an outage.
+    evacuations: Map<String, Option<Time>>,
     /// Faults of the entries that cannot be read, by key.
     unreadable: Map<String, String>,
     events: Vec<DirectoryEvent>,
@@ -67,6 +80,11 @@
     record: LeafRecord,
     /// When the leaf is removed, if its entry is missing after an outage.
     expires: Option<Time>,
+    /// Until when the leaf, which is leaving, may be called; `None` if it is not known
+    /// since when it is leaving.
+    serves_until: Option<Time>,
+    /// Until when the leaf is cold.
+    cold_until: Option<Time>,
 }
 
 impl Directory {
@@ -81,6 +99,19 @@
         }
     }
 
+    /// Sets for how long leaves serve after they have announced that they leave.
+    #[must_use]
+    pub fn with_drain(mut self, drain: Duration) -> Self {
+        self.drain = DrainPeriod::new(drain);
+        self
+    }
+
+    /// Records when the state was last known to be up to date; the changes applied from
+    /// now on were made after it.
+    pub fn set_known_at(&mut self, known: Option<Time>) {
+        self.known_at = known;
+    }
+
     /// Records that the registry could not be read.
     pub fn record_outage(&mut self, now: Time) {
         self.outage = Some(now);
@@ -90,12 +121,14 @@
     pub fn apply(&mut self, change: Change, now: Time) -> bool {
         match change {
             Change::Deployed(deployment) => self.deploy(*deployment),
-            Change::Leaf(record) => self.register_leaf(record),
+            Change::Leaf(record) => self.register_leaf(record, now),
             Change::LeafGone(name) => self.leaf_missing(&name, now),
             Change::Member(member) => self.register_member(member),
             Change::MemberGone(name) => self.member_missing(name, now),
             Change::Crashed(report) => self.record_crash(report, now),
             Change::CrashGone { content, leaf } => self.forget_crash(content, leaf),
+            Change::Evacuated(data_centre) => self.evacuate(data_centre),
+            Change::EvacuationEnded(data_centre) => self.evacuation_missing(&data_centre, now),
             Change::Unreadable { key, fault } => {
                 self.record_unreadable(key, fault);
                 false
@@ -110,6 +143,7 @@
         let mut leaves = Set::default();
         let mut members = Set::default();
         let mut crashes = Set::default();
+        let mut evacuated = Set::default();
         let mut changed = false;
         for change in reading.changes {
             match &change {
@@ -118,6 +152,7 @@
                 Change::Crashed(report) => {
                     crashes.insert((report.content, report.leaf.clone()));
                 }
+                Change::Evacuated(data_centre) => drop(evacuated.insert(data_centre.clone())),
                 _ => {}
             }
             changed |= self.apply(change, now);
@@ -130,6 +165,12 @@
         for name in self.fleet.missing(&members) {
             changed |= self.member_missing(name, now);
         }
+        let ended = self.evacuations.keys();
+        let ended = ended.filter(|name| !evacuated.contains(*name));
+        let ended: Vec<String> = ended.cloned().collect();
+        for data_centre in ended {
+            changed |= self.evacuation_missing(&data_centre, now);
+        }
         let known = self.crashes.reports();
         let known = known.map(|report| (report.content, report.leaf.clone()));
         let missing: Vec<_> = known.filter(|known| !crashes.contains(known)).collect();
@@ -158,7 +199,8 @@
     /// entry has been gone for a while, and quarantines that have lasted long enough.
     /// Returns whether there were any.
     pub fn tick(&mut self, now: Time) -> bool {
-        let others_removed = self.fleet.expire(now) | self.crashes.expire(now);
+        let others_removed =
+            self.fleet.expire(now) | self.crashes.expire(now) | self.end_evacuations(now);
         let expired = |held: &KnownLeaf| held.expires.is_some_and(|expires| now >= expires);
         let expired = self.leaves.iter().filter(|(_, held)| expired(held));
         let expired: Vec<String> = expired.map(|(name, _)| name.clone()).collect();
@@ -191,6 +233,7 @@
             .chain(leaves.map(Change::Leaf))
             .chain(members.map(Change::Member))
             .chain(crashes.map(Change::Crashed))
+            .chain(self.evacuations.keys().cloned().map(Change::Evacuated))
             .collect()
     }
 
@@ -199,7 +242,12 @@
     pub fn next_tick(&self) -> Option<Time> {
         let leaves = self.leaves.values().filter_map(|held| held.expires);
         let crashes = self.crashes.next_expiry();
-        leaves.chain(self.fleet.next_expiry()).chain(crashes).min()
+        let evacuations = self.evacuations.values().copied().flatten();
+        leaves
+            .chain(self.fleet.next_expiry())
+            .chain(crashes)
+            .chain(evacuations)
+            .min()
     }
 
     /// Returns the version in force; 0 if there is none.
@@ -227,6 +275,38 @@
         Shares::new(&self.own, self.members(), services.cloned().collect())
     }
 
+    /// Returns until when each leaf that is leaving may still be called.
+    #[must_use]
+    pub fn draining(&self) -> Map<LeafId, Time> {
+        let leaves = self.leaves.iter();
+        let leaving = leaves.filter(|(_, held)| {
+            held.record.state == MemberState::Leaving && !self.is_evacuated(&held.record)
+        });
+        leaving
+            .filter_map(|(name, held)| Some((LeafId::of(name), held.serves_until?)))
+            .collect()
+    }
+
+    /// Returns how long leaves that leave may still be called.
+    #[must_use]
+    pub fn drain_period(&self) -> DrainPeriod {
+        self.drain
+    }
+
+    /// Returns the leaves that are cold and take few calls.
+    #[must_use]
+    pub fn cold_leaves(&self) -> Map<LeafId, ColdLeaf> {
+        let rates = self.deployment.as_ref().map(|d| &d.warm_ups);
+        let leaves = self.leaves.iter();
+        leaves
+            .filter_map(|(name, held)| {
+                let rate = *rates?.get(&held.record.service)?;
+                let until = held.cold_until?;
+                Some((LeafId::of(name), ColdLeaf { rate, until }))
+            })
+            .collect()
+    }
+
     /// Returns what the fleet knows about content that crashes leaves.
     #[must_use]
     pub fn crashes(&self) -> &CrashEvidence {
@@ -274,7 +354,7 @@
             let service = services.entry(&record.service).or_default();
             service.name.clone_from(&record.service);
             service.slots = service.slots.max(record.slots);
-            service.leaves.push(leaf(record));
+            service.leaves.push(self.leaf(record));
         }
         let mut services: Vec<Service> = services.into_values().collect();
         for service in &mut services {
@@ -287,6 +367,76 @@
         services
     }
 
+    fn is_evacuated(&self, record: &LeafRecord) -> bool {
+        self.evacuations.contains_key(&record.data_centre)
+    }
+
+    /// Returns a leaf of the catalog. Those of an evacuated data centre are leaving.
+    fn leaf(&self, record: &LeafRecord) -> Leaf {
+        let leaving = record.state == MemberState::Leaving || self.is_evacuated(record);
+        Leaf {
+            name: record.name.clone(),
+            data_centre: record.data_centre.clone(),
+            address: record.address,
+            from: 0,
+            until: KEY_SPACE,
+            state: if leaving {
+                LeafState::Leaving
+            } else {
+                LeafState::Serving
+            },
+        }
+    }
+
+    /// Sends nothing more to the leaves of a data centre. Returns whether that is new.
+    fn evacuate(&mut self, data_centre: String) -> bool {
+        let known = self.evacuations.insert(data_centre.clone(), None);
+        if known.is_none() {
+            self.changes.push(Change::Evacuated(data_centre.clone()));
+            self.events.push(DirectoryEvent::Evacuated { data_centre });
+        }
+        known.is_none()
+    }
+
+    /// Ends an evacuation whose entry is missing, or keeps it for a while after an
+    /// outage. Returns whether it has ended.
+    fn evacuation_missing(&mut self, data_centre: &str, now: Time) -> bool {
+        let deadline = self.outage.map(|outage| outage.after(REREGISTER_TIMEOUT));
+        let Some(expires) = self.evacuations.get_mut(data_centre) else {
+            return false;
+        };
+        if let Some(deadline) = deadline.filter(|deadline| now < *deadline) {
+            expires.get_or_insert(deadline);
+            return false;
+        }
+        if expires.is_some_and(|expires| now < expires) {
+            return false;
+        }
+        self.end_evacuation(data_centre);
+        true
+    }
+
+    /// Ends the evacuations whose entries have stayed missing after an outage. Returns
+    /// whether there were any.
+    fn end_evacuations(&mut self, now: Time) -> bool {
+        let expired = |expires: Option<Time>| expires.is_some_and(|expires| now >= expires);
+        let ended = self.evacuations.iter().filter(|(_, at)| expired(**at));
+        let ended: Vec<String> = ended.map(|(name, _)| name.clone()).collect();
+        for data_centre in &ended {
+            self.end_evacuation(data_centre);
+        }
+        !ended.is_empty()
+    }
+
+    fn end_evacuation(&mut self, data_centre: &str) {
+        let data_centre = data_centre.to_owned();
+        self.evacuations.remove(&data_centre);
+        self.changes
+            .push(Change::EvacuationEnded(data_centre.clone()));
+        self.events
+            .push(DirectoryEvent::EvacuationEnded { data_centre });
+    }
+
     fn record_unreadable(&mut self, key: String, fault: String) {
         if self.unreadable.get(&key) == Some(&fault) {
             return;
@@ -316,7 +466,7 @@
         true
     }
 
-    fn register_leaf(&mut self, record: LeafRecord) -> bool {
+    fn register_leaf(&mut self, record: LeafRecord, now: Time) -> bool {
         let stamp = (record.born, record.sequence);
         let held = self.leaves.get(&record.name);
         let known = held.map(|held| (held.record.born, held.record.sequence));
@@ -328,7 +478,20 @@
         }
         self.removed.remove(&record.name);
         let compared = |r: &LeafRecord| (r.service.clone(), r.address, r.slots, r.state, r.born);
-        let unchanged = held.is_some_and(|h| compared(&h.record) == compared(&record));
+        let cold_until = (!record.cold.is_zero()).then(|| now.after(record.cold));
+        let same_warmth = |held: &KnownLeaf| match (held.cold_until, cold_until) {
+            (Some(known), Some(until)) => until <= known.after(COLD_TOLERANCE),
+            (known, until) => known.is_some_and(|known| known > now) == until.is_some(),
+        };
+        let unchanged =
+            held.is_some_and(|h| compared(&h.record) == compared(&record) && same_warmth(h));
+        let serves_until = match held {
+            _ if record.state == MemberState::Live => None,
+            Some(held) if held.record.born != record.born => None,
+            Some(held) if held.record.state == MemberState::Leaving => held.serves_until,
+            Some(_) => self.known_at.map(|known| self.drain.end(known)),
+            None => None,
+        };
         if !unchanged {
             self.events.push(DirectoryEvent::Registered {
                 leaf: record.name.clone(),
@@ -337,9 +500,13 @@
             });
             self.changes.push(Change::Leaf(record.clone()));
         }
-        let expires = None;
-        self.leaves
-            .insert(record.name.clone(), KnownLeaf { record, expires });
+        let known = KnownLeaf {
+            expires: None,
+            serves_until,
+            cold_until,
+            record,
+        };
+        self.leaves.insert(known.record.name.clone(), known);
         !unchanged
     }
 
@@ -428,17 +595,3 @@
 fn own_share(total: u32, share: f64) -> u32 {
     ((f64::from(total) * share + ROUNDING_MARGIN) as u32).max(1)
 }
-
-fn leaf(record: &LeafRecord) -> Leaf {
-    Leaf {
-        name: record.name.clone(),
-        data_centre: record.data_centre.clone(),
-        address: record.address,
-        from: 0,
-        until: KEY_SPACE,
-        state: match record.state {
-            MemberState::Live => LeafState::Serving,
-            MemberState::Leaving => LeafState::Leaving,
-        },
-    }
-}
--- a/crates/guavacourse/src/modules/directory/records.rs
+++ b/crates/guavacourse/src/modules/directory/records.rs
@@ -1,5 +1,7 @@
 //! Entries of the registry, and changes to them.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 use crate::modules::{
@@ -22,6 +24,10 @@
     pub connections: Map<String, u32>,
     /// Bounds on what callers may send.
     pub callers: CallerLimits,
+    /// Calls a second that a cold leaf takes from the whole fleet, by service; cold
+    /// leaves of other services take as many as warm ones.
+    #[serde(skip_serializing_if = "Map::is_empty")]
+    pub warm_ups: Map<String, f64>,
     /// Customers whose callers must send a key; `None` if callers need none.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub customers: Option<Vec<Customer>>,
@@ -47,6 +53,9 @@
     pub born: u64,
     /// Sequence number of the record within the incarnation.
     pub sequence: u64,
+    /// How much longer it stays cold.
+    #[serde(default, with = "humantime_serde")]
+    pub cold: Duration,
 }
 
 /// A change in the registry.
@@ -72,6 +81,10 @@
         /// The leaf.
         leaf: CrashedLeaf,
     },
+    /// Operators asked that nothing is sent to the leaves of a data centre.
+    Evacuated(String),
+    /// Operators took that back.
+    EvacuationEnded(String),
     /// An entry cannot be read.
     Unreadable {
         /// Its key.
@@ -166,6 +179,16 @@
         /// The leaves.
         leaves: Vec<CrashedLeaf>,
     },
+    /// Nothing is sent to the leaves of a data centre.
+    Evacuated {
+        /// Name of the data centre.
+        data_centre: String,
+    },
+    /// The leaves of a data centre may be called again.
+    EvacuationEnded {
+        /// Name of the data centre.
+        data_centre: String,
+    },
     /// An entry cannot be read; reported again only if its fault changes.
     Unreadable {
         /// Its key.
--- a/crates/guavacourse/src/modules/load_balancer.rs
+++ b/crates/guavacourse/src/modules/load_balancer.rs
@@ -19,6 +19,7 @@
     lateness::Lateness,
     members::Member,
     ownership::mix,
+    placement::draining,
     query::plan::{Attempt, Slot},
     replicas::{Candidate, LeafStats, as_micros, rank},
     round_robin::WeightedRoundRobin,
@@ -317,7 +318,10 @@
         version: u64,
         now: Time,
     ) -> Option<Choice> {
-        ranked.retain(|candidate| !slot.tried().contains(&candidate.id));
+        ranked.retain(|candidate| {
+            let serving = view.catalog.leaves[candidate.leaf].state == LeafState::Serving;
+            (serving || slot.repeatable) && !slot.tried().contains(&candidate.id)
+        });
         let routed = |candidate| self.routed(view, candidate, now);
         let mut holders = ranked
             .iter()
@@ -537,7 +541,9 @@
         let slots = view.catalog.services[shard.service].slots;
         let serving = shard.replicas.iter().copied().filter(|key| {
             let leaf = &view.catalog.leaves[*key];
-            leaf.state == LeafState::Serving
+            let serving =
+                leaf.state == LeafState::Serving || self.serves_while_leaving(view, leaf, now);
+            serving
                 && !view.leaving.contains(&leaf.id)
                 && regions.allows(view.catalog.region(&leaf.data_centre))
                 && self.opens_at(leaf.id, now).is_none()
@@ -587,8 +593,31 @@
         }
     }
 
-    /// Returns the cost added for a leaf in another region, in microseconds.
+    /// Returns the cost added for a leaf that is far or leaving, in microseconds.
     fn distance(&self, view: &View, leaf: &LeafEntry) -> f64 {
+        let leaving = match leaf.state {
+            LeafState::Serving => 0.0,
+            LeafState::Leaving => as_micros(draining::PENALTY),
+        };
+        leaving + self.region_cost(view, leaf)
+    }
+
+    /// Returns whether a leaf that is leaving may still be called. That is used only
+    /// where the load of leaves is known or customers share them.
+    fn serves_while_leaving(&self, view: &View, leaf: &LeafEntry, now: Time) -> bool {
+        let until = view.draining.get(&leaf.id);
+        let enabled = || {
+            let load = self
+                .leaves
+                .get(&leaf.id)
+                .and_then(|leaf| leaf.reported_load(now));
+            view.catalog.customers.is_some() || load.is_some_and(|(load, _)| load.pace.is_some())
+        };
+        until.is_some_and(|until| now < *until) && enabled()
+    }
+
+    /// Returns the cost added for a leaf in another region, in microseconds.
+    fn region_cost(&self, view: &View, leaf: &LeafEntry) -> f64 {
         if leaf.data_centre == self.data_centre {
             return 0.0;
         }
--- a/crates/guavacourse/src/modules/query/plan.rs
+++ b/crates/guavacourse/src/modules/query/plan.rs
@@ -7,7 +7,7 @@
     call::{AttemptId, Call, NotRun, Origin, Part},
     catalog::{KindEntry, LeafId, ShardKey},
     collections::Map,
-    inventory::Address,
+    inventory::{Address, Class},
     keys::KeyRange,
     time::Time,
     view::View,
@@ -31,6 +31,8 @@
     pub(crate) body: Option<Arc<[u8]>>,
     /// Status, signature and media type that the leaf sent with them.
     pub(crate) origin: Option<Arc<Origin>>,
+    /// Whether a call may be repeated if its leaf ends.
+    pub(crate) repeatable: bool,
     /// Whether a call has reached a leaf, so that any further call is extra
     /// load.
     pub(crate) reached_leaf: bool,
@@ -155,6 +157,7 @@
     /// count.
     pub(crate) fn reset(&mut self) {
         *self = Self {
+            repeatable: self.repeatable,
             reached_leaf: self.reached_leaf,
             exposed: self.exposed,
             max_exposed: self.max_exposed,
@@ -165,6 +168,7 @@
     fn new(shard: ShardKey, service: usize, range: KeyRange) -> Self {
         Self {
             origin: None,
+            repeatable: false,
             reached_leaf: false,
             exposed: 0,
             max_exposed: 0,
@@ -195,6 +199,7 @@
         let service = names.iter().position(|other| other == name)?;
         Some(Slot {
             max_exposed,
+            repeatable: kind.rules.class == Class::Query,
             ..Slot::new(*key, service, shard.range)
         })
     });
--- a/crates/guavacourse/src/modules/view.rs
+++ b/crates/guavacourse/src/modules/view.rs
@@ -6,6 +6,7 @@
     catalog::{Catalog, LeafId},
     collections::{Map, Set},
     members::Member,
+    placement::{draining::DrainPeriod, warm_up::ColdLeaf},
     shares::Shares,
     time::Time,
 };
@@ -24,6 +25,12 @@
     pub relays: Vec<Member>,
     /// Leaves that the instance list reports as leaving.
     pub leaving: Set<LeafId>,
+    /// Until when leaves that are leaving may still be called, where that is known.
+    pub draining: Map<LeafId, Time>,
+    /// How long leaves that leave may still be called.
+    pub drain_period: DrainPeriod,
+    /// Leaves that are cold and take few calls.
+    pub cold: Map<LeafId, ColdLeaf>,
     /// Incarnations of leaves, where the instance list gives them.
     pub incarnations: Map<LeafId, u64>,
     /// Fingerprints of request contents that have crashed backend servers.
--- a/crates/guavacourse/tests/admission/notices.rs
+++ b/crates/guavacourse/tests/admission/notices.rs
@@ -5,7 +5,9 @@
 use guavacourse::modules::{
     call::{AttemptId, NotRun},
     catalog::LeafId,
+    inventory::LeafState,
     leaf_notice::LeafNotice,
+    placement::{draining::DrainPeriod, load_report::LoadReport, warm_up::ColdLeaf},
     shares::Shares,
     time::Time,
 };
@@ -349,3 +351,77 @@
     harness.submit(&call(5));
     assert_eq!(harness.take_steps(), "deliver 5: not run: Deferred");
 }
+
+/// Lists leaf `a` as leaving; it may be called until `until`.
+fn list_leaving(harness: &mut Harness, until: Time) {
+    harness.set_state("a", LeafState::Leaving);
+    harness.view.draining.insert(LeafId::of("a"), until);
+    harness.view.drain_period = DrainPeriod::new(Duration::from_secs(1));
+    harness.publish();
+}
+
+/// Returns what a leaf answers that reports the pace of its machine.
+fn with_pace(leaving: bool) -> LeafNotice {
+    LeafNotice {
+        leaving,
+        load: Some(LoadReport {
+            running: 1,
+            waiting: 0,
+            slots: 2,
+            pace: Some(100),
+        }),
+        ..LeafNotice::default()
+    }
+}
+
+/// Guards against a shard without leaves while one that leaves still serves, and against
+/// calls to it later than allowed.
+#[test]
+fn a_leaving_leaf_that_reports_its_pace_is_called_for_a_while() {
+    let mut harness = Harness::new();
+    harness.submit(&call(1));
+    harness.take_steps();
+    answer(&mut harness, 1, with_pace(false));
+    let until = harness.now.after(Duration::from_millis(2_000));
+    list_leaving(&mut harness, until);
+    harness.submit(&call(2));
+    assert!(harness.take_steps().contains("dispatch 2"));
+    // Its own word allows 0.7 of the drain time from then on.
+    harness.advance(100);
+    answer(&mut harness, 2, with_pace(true));
+    harness.take_steps();
+    harness.advance(600);
+    harness.submit(&call(3));
+    assert!(harness.take_steps().contains("dispatch 3"));
+    harness.answer(3);
+    harness.advance(200);
+    harness.take_steps();
+    harness.submit(&call(4));
+    assert!(harness.take_steps().contains("Draining"));
+}
+
+/// Guards against a change for leaves of which no load is known.
+#[test]
+fn a_leaving_leaf_without_a_pace_gets_no_calls() {
+    let mut harness = Harness::new();
+    let until = harness.now.after(Duration::from_secs(2));
+    list_leaving(&mut harness, until);
+    harness.submit(&call(1));
+    assert!(harness.take_steps().contains("Draining"));
+}
+
+/// Guards against calls that crash a leaf which is still cold.
+#[test]
+fn a_cold_leaf_gets_its_rate_until_it_is_warm() {
+    let mut harness = Harness::new();
+    let cold = ColdLeaf {
+        rate: 10.0,
+        until: harness.now.after(Duration::from_secs(4)),
+    };
+    harness.view.cold.insert(LeafId::of("a"), cold);
+    harness.publish();
+    let got = calls_in(&mut harness, 4_000, LeafNotice::default(), 100);
+    assert!((30..=38).contains(&got), "{got}");
+    let got = calls_in(&mut harness, 1_000, LeafNotice::default(), 1_000);
+    assert_eq!(got, 100);
+}
--- a/crates/guavacourse/tests/directory.rs
+++ b/crates/guavacourse/tests/directory.rs
@@ -28,6 +28,7 @@
         state: MemberState::Live,
         born,
         sequence,
+        cold: Duration::ZERO,
     }
 }
 
@@ -317,3 +318,107 @@
     assert_eq!(directory.crashes().leaves(7), []);
     assert_eq!(directory.crashes().leaves(8), [crashed_leaf("a")]);
 }
+
+/// Returns the state of each leaf in the catalog, by name.
+fn states(directory: &Directory) -> Vec<(String, LeafState)> {
+    let catalog = directory.catalog();
+    let leaves = catalog.leaves.values();
+    let mut states: Vec<_> = leaves.map(|leaf| (leaf.name.clone(), leaf.state)).collect();
+    states.sort_by(|a, b| a.0.cmp(&b.0));
+    states
+}
+
+/// Guards against calls to a data centre that operators have evacuated.
+#[test]
+fn an_evacuation_takes_the_leaves_of_a_data_centre_out_of_use() {
+    let mut directory = directory();
+    let other = LeafRecord {
+        data_centre: "dc-b".to_owned(),
+        ..record("c", 1, 1)
+    };
+    directory.apply(Change::Leaf(other), at(0));
+    assert!(directory.apply(Change::Evacuated("dc-a".to_owned()), at(1)));
+    assert!(!directory.apply(Change::Evacuated("dc-a".to_owned()), at(2)));
+    assert_eq!(serving_leaves(&directory), ["c"]);
+    assert!(
+        directory
+            .full_state()
+            .contains(&Change::Evacuated("dc-a".to_owned()))
+    );
+    assert!(directory.apply(Change::EvacuationEnded("dc-a".to_owned()), at(3)));
+    assert_eq!(serving_leaves(&directory), ["a", "b", "c"]);
+}
+
+/// Guards against an evacuation that ends because the store has lost its entry for a
+/// moment.
+#[test]
+fn an_evacuation_outlasts_an_outage() {
+    let mut directory = directory();
+    directory.apply(Change::Evacuated("dc-a".to_owned()), at(0));
+    directory.record_outage(at(1_000));
+    assert!(!directory.replace(reading(&["a", "b"]), at(2_000)));
+    assert_eq!(serving_leaves(&directory), [""; 0]);
+    directory.apply(Change::Evacuated("dc-a".to_owned()), at(2_500));
+    assert!(!directory.tick(at(9_000)));
+    assert!(directory.replace(reading(&["a", "b"]), at(9_000)));
+    assert_eq!(serving_leaves(&directory), ["a", "b"]);
+}
+
+/// Guards against calls to a leaving leaf after it may have exited: the time counts from
+/// the last moment at which it was known not to be leaving.
+#[test]
+fn a_leaving_leaf_may_be_called_for_a_part_of_its_drain_time() {
+    let leaving = |sequence, born| LeafRecord {
+        state: MemberState::Leaving,
+        ..record("a", born, sequence)
+    };
+    let mut directory = directory().with_drain(Duration::from_secs(10));
+    directory.set_known_at(Some(at(500)));
+    directory.apply(Change::Leaf(leaving(2, 1)), at(3_000));
+    assert_eq!(states(&directory)[0], ("a".to_owned(), LeafState::Leaving));
+    assert_eq!(directory.draining().get(&LeafId::of("a")), Some(&at(7_500)));
+    // Later entries do not prolong it.
+    directory.set_known_at(Some(at(4_000)));
+    directory.apply(Change::Leaf(leaving(3, 1)), at(5_000));
+    assert_eq!(directory.draining().get(&LeafId::of("a")), Some(&at(7_500)));
+    // Nothing is known of the start of the drain of the next incarnation.
+    directory.apply(Change::Leaf(leaving(1, 2)), at(6_000));
+    assert_eq!(directory.draining().get(&LeafId::of("a")), None);
+    directory.apply(Change::Leaf(record("b", 1, 2)), at(6_000));
+    directory.apply(Change::Evacuated("dc-a".to_owned()), at(6_000));
+    assert!(directory.draining().is_empty());
+}
+
+/// Guards against too many calls to a leaf that has just started or become cold again.
+#[test]
+fn a_cold_leaf_is_known_with_its_rate_until_it_is_warm() {
+    let cold = |sequence, millis| {
+        Change::Leaf(LeafRecord {
+            cold: Duration::from_millis(millis),
+            ..record("a", 1, sequence)
+        })
+    };
+    let mut directory = directory();
+    assert!(directory.apply(cold(2, 3_000), at(1_000)));
+    assert!(
+        directory.cold_leaves().is_empty(),
+        "the service sets no limit"
+    );
+    let Change::Deployed(mut deployment) = deployed(4, "search") else {
+        panic!("a deployment");
+    };
+    deployment.warm_ups = [("desk".to_owned(), 20.0)].into_iter().collect();
+    directory.apply(Change::Deployed(deployment), at(1_000));
+    let known = |directory: &Directory| {
+        let leaf = directory.cold_leaves().get(&LeafId::of("a")).copied();
+        leaf.map(|leaf| (leaf.rate.to_string(), leaf.until))
+    };
+    assert_eq!(known(&directory), Some(("20".to_owned(), at(4_000))));
+    assert!(!directory.apply(cold(3, 1_900), at(2_200)), "the same end");
+    assert!(
+        directory.apply(cold(4, 3_000), at(3_000)),
+        "it became cold again"
+    );
+    assert!(directory.apply(cold(5, 0), at(5_000)));
+    assert_eq!(known(&directory), None);
+}
