--- a/crates/guavacourse/src/edge/gateway/follow/events.rs
+++ b/crates/guavacourse/src/edge/gateway/follow/events.rs
@@ -31,7 +31,7 @@
             "a data centre is evacuated; its leaves get no calls"
         ),
         DirectoryEvent::EvacuationEnded { data_centre } => {
-            tracing::info!(data_centre, "the evacuation of a data centre has ended")
+            tracing::info!(data_centre, "the evacuation of a data centre has ended");
         }
         DirectoryEvent::Unreadable { key, fault } => tracing::warn!(
             key,
--- a/crates/guavacourse/src/modules/load_balancer.rs
+++ b/crates/guavacourse/src/modules/load_balancer.rs
@@ -14,7 +14,7 @@
     delegation::Delegation,
     extra::{ExtraBudgets, ExtraLimits, ExtraReason},
     hedge::{self, Pressure},
-    inventory::{Address, Kind, LeafState, Policy},
+    inventory::{Address, Class, Kind, LeafState, Policy},
     latency::LatencyHistogram,
     lateness::Lateness,
     members::Member,
@@ -320,7 +320,7 @@
     ) -> Option<Choice> {
         ranked.retain(|candidate| {
             let serving = view.catalog.leaves[candidate.leaf].state == LeafState::Serving;
-            (serving || slot.repeatable) && !slot.tried().contains(&candidate.id)
+            (serving || slot.class == Class::Query) && !slot.tried().contains(&candidate.id)
         });
         let routed = |candidate| self.routed(view, candidate, now);
         let mut holders = ranked
--- a/crates/guavacourse/src/modules/query/plan.rs
+++ b/crates/guavacourse/src/modules/query/plan.rs
@@ -32,7 +32,7 @@
     /// Status, signature and media type that the leaf sent with them.
     pub(crate) origin: Option<Arc<Origin>>,
     /// Whether a call may be repeated if its leaf ends.
-    pub(crate) repeatable: bool,
+    pub(crate) class: Class,
     /// Whether a call has reached a leaf, so that any further call is extra
     /// load.
     pub(crate) reached_leaf: bool,
@@ -157,7 +157,7 @@
     /// count.
     pub(crate) fn reset(&mut self) {
         *self = Self {
-            repeatable: self.repeatable,
+            class: self.class,
             reached_leaf: self.reached_leaf,
             exposed: self.exposed,
             max_exposed: self.max_exposed,
@@ -168,7 +168,7 @@
     fn new(shard: ShardKey, service: usize, range: KeyRange) -> Self {
         Self {
             origin: None,
-            repeatable: false,
+            class: Class::Action,
             reached_leaf: false,
             exposed: 0,
             max_exposed: 0,
@@ -199,7 +199,7 @@
         let service = names.iter().position(|other| other == name)?;
         Some(Slot {
             max_exposed,
-            repeatable: kind.rules.class == Class::Query,
+            class: kind.rules.class,
             ..Slot::new(*key, service, shard.range)
         })
     });
--- a/crates/guavacourse/tests/admission/notices.rs
+++ b/crates/guavacourse/tests/admission/notices.rs
@@ -382,7 +382,7 @@
     harness.submit(&call(1));
     harness.take_steps();
     answer(&mut harness, 1, with_pace(false));
-    let until = harness.now.after(Duration::from_millis(2_000));
+    let until = harness.now.after(Duration::from_secs(2));
     list_leaving(&mut harness, until);
     harness.submit(&call(2));
     assert!(harness.take_steps().contains("dispatch 2"));
