--- a/crates/guavacourse/src/modules/load_balancer.rs
+++ b/crates/guavacourse/src/modules/load_balancer.rs
@@ -7,20 +7,20 @@
     answer::Cause,
     budget::Budget,
     call::{AttemptId, NotRun, Outcome, Reply},
-    catalog::{KindEntry, LeafEntry, LeafId, LeafKey, ShardKey},
+    catalog::{KindEntry, LeafId, LeafKey, ShardKey},
     cleared::ClearedContents,
     collections::Map,
     customers::AllowedRegions,
     delegation::Delegation,
     extra::{ExtraBudgets, ExtraLimits, ExtraReason},
     hedge::{self, Pressure},
-    inventory::{Address, Kind, LeafState, Policy},
+    inventory::{Address, Kind, LeafState},
     latency::LatencyHistogram,
     lateness::Lateness,
     members::Member,
-    ownership::mix,
+    placement::distances::Distances,
     query::plan::{Attempt, Slot},
-    replicas::{Candidate, LeafStats, as_micros, rank},
+    replicas::{Candidate, LeafStats, as_micros},
     round_robin::WeightedRoundRobin,
     routing::Routing,
     snapshot::KnownVersions,
@@ -36,10 +36,6 @@
 /// its leaf, or those of all leaves if the leaf is unknown.
 const EXPECTED_QUANTILE: f64 = 0.5;
 
-/// Latency added to the cost of a leaf in another region, so that a nearer leaf that
-/// is hardly slower is preferred: bytes sent between regions cost more.
-const REGION_PENALTY: Duration = Duration::from_millis(8);
-
 /// A leaf to call and the relay to call it through.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct Choice {
@@ -54,17 +50,19 @@
 /// Load-balancing state of one traffic thread. Each thread has its own.
 #[derive(Debug)]
 pub struct LoadBalancer {
-    data_centre: String,
+    pub(super) data_centre: String,
     /// The view of the latest request.
     view: Arc<View>,
     last_attempt: u64,
-    sends: u64,
-    queries: u64,
+    pub(super) sends: u64,
+    pub(super) queries: u64,
     leaves: Map<LeafId, LeafStats>,
     latency: LatencyHistogram,
     lateness: Lateness,
     /// Least latency of a first call to a leaf, by data centre, in microseconds.
-    min_latencies: Map<String, f64>,
+    pub(super) min_latencies: Map<String, f64>,
+    /// Distances of data centres whose leaves' calls are placed by load.
+    pub(super) distances: Distances,
     kinds: Vec<KindStats>,
     routing: Routing,
     dropped_replies: u64,
@@ -114,6 +112,7 @@
             latency: LatencyHistogram::default(),
             lateness: Lateness::default(),
             min_latencies: Map::default(),
+            distances: Distances::default(),
             kinds: Vec::new(),
             routing: Routing::default(),
             dropped_replies: 0,
@@ -359,7 +358,7 @@
     /// Records that a call sent at `sent` was cancelled.
     pub(crate) fn cancelled(&mut self, leaf: LeafId, sent: Time, now: Time) {
         let stats = self.leaves.entry(leaf).or_default();
-        stats.pending = stats.pending.saturating_sub(1);
+        stats.end(false);
         let elapsed = now.since(sent);
         if let Some(ratio) = hedge::ratio(&stats.latency, elapsed) {
             self.lateness.record_cancelled(ratio);
@@ -371,12 +370,14 @@
     pub(crate) fn replied(&mut self, kind: &str, attempt: &Attempt, reply: &Reply, now: Time) {
         let link_failed = self.link_failed(attempt.relay, attempt.sent);
         let latency = now.since(attempt.sent);
+        let mut distance = 0.0;
         if matches!(reply.outcome, Outcome::Rows(_)) {
             self.latency.record(latency);
             self.record_min_latency(attempt.leaf, latency);
+            distance = self.record_distance(attempt.leaf, latency);
         }
         let stats = self.leaves.entry(attempt.leaf).or_default();
-        stats.pending = stats.pending.saturating_sub(1);
+        stats.end(reply.load.is_some());
         if let Some(load) = reply.load {
             stats.report_load(load, now);
         }
@@ -387,6 +388,7 @@
                 if let Some(ratio) = hedge::ratio(&stats.latency, latency) {
                     self.lateness.record(ratio);
                 }
+                stats.record_work(latency, distance, now);
                 stats.record(latency, reply.queued, now);
                 stats.record_newest(rows.newest.max(rows.version), now);
             }
@@ -418,7 +420,7 @@
 
     /// Returns when a leaf that asked for fewer calls takes the next one; `None` if it
     /// takes one now.
-    fn opens_at(&self, leaf: LeafId, now: Time) -> Option<Time> {
+    pub(super) fn opens_at(&self, leaf: LeafId, now: Time) -> Option<Time> {
         let opens = self.leaves.get(&leaf).map(|leaf| leaf.closed_until);
         opens.filter(|opens| *opens > now)
     }
@@ -524,88 +526,14 @@
         }
     }
 
-    fn ranked(
-        &self,
-        view: &View,
-        shard: ShardKey,
-        regions: &AllowedRegions,
-        now: Time,
-    ) -> Vec<Candidate> {
-        let Some(shard) = view.catalog.shards.get(shard) else {
-            return Vec::new();
-        };
-        let slots = view.catalog.services[shard.service].slots;
-        let serving = shard.replicas.iter().copied().filter(|key| {
-            let leaf = &view.catalog.leaves[*key];
-            leaf.state == LeafState::Serving
-                && !view.leaving.contains(&leaf.id)
-                && regions.allows(view.catalog.region(&leaf.data_centre))
-                && self.opens_at(leaf.id, now).is_none()
-        });
-        let mut ranked: Vec<Candidate> = serving
-            .map(|key| {
-                let leaf = &view.catalog.leaves[key];
-                self.candidate(key, leaf, slots, now)
-                    .with_distance(self.distance(view, leaf))
-            })
-            .collect();
-        let offset = mix(u64::from(shard.range.from) + 1);
-        match view.catalog.policy {
-            Policy::Adaptive => rank(&mut ranked, mix(self.sends ^ offset)),
-            Policy::Plain => rotate(&mut ranked, self.queries.wrapping_add(offset)),
-        }
-        ranked
-    }
-
-    fn ranked_by_content(
-        &self,
-        view: &View,
-        shard: ShardKey,
-        regions: &AllowedRegions,
-        content: u64,
-        now: Time,
-    ) -> Vec<Candidate> {
-        let mut ranked = self.ranked(view, shard, regions, now);
-        ranked.sort_by_key(|candidate| mix(content ^ candidate.id.0));
-        ranked
-    }
-
-    fn candidate(&self, key: LeafKey, leaf: &LeafEntry, slots: u32, now: Time) -> Candidate {
-        let stats = self.leaves.get(&leaf.id);
-        let (cost, reported_cost) = match stats {
-            Some(stats) if !stats.unknown() => {
-                (stats.cost(slots, now), stats.reported_cost(slots, now))
-            }
-            _ => (self.initial_cost(leaf), self.initial_cost(leaf)),
-        };
-        Candidate {
-            leaf: key,
-            id: leaf.id,
-            avoided: stats.is_some_and(|stats| stats.avoided(now) || stats.stalled(now)),
-            cost,
-            reported_cost,
-        }
-    }
-
-    /// Returns the cost added for a leaf in another region, in microseconds.
-    fn distance(&self, view: &View, leaf: &LeafEntry) -> f64 {
-        if leaf.data_centre == self.data_centre {
+    /// Records the latency of an answer from a leaf, and returns the distance to the leaf
+    /// in microseconds.
+    fn record_distance(&mut self, id: LeafId, latency: Duration) -> f64 {
+        let Some(leaf) = self.view.catalog.leaf(id) else {
             return 0.0;
-        }
-        let region = |data_centre: &String| view.catalog.regions.get(data_centre);
-        match (region(&leaf.data_centre), region(&self.data_centre)) {
-            (Some(there), Some(here)) if there != here => as_micros(REGION_PENALTY),
-            _ => 0.0,
-        }
-    }
-
-    /// Returns the cost of a first call to a leaf: the least latency seen in its
-    /// data centre, so that a distant leaf is not tried just because nothing is
-    /// known of it.
-    fn initial_cost(&self, leaf: &LeafEntry) -> f64 {
-        let known = self.min_latencies.get(&leaf.data_centre).copied();
-        let near = leaf.data_centre == self.data_centre;
-        known.unwrap_or(if near { 0.0 } else { f64::MIN_POSITIVE })
+        };
+        self.distances.record(&leaf.data_centre, as_micros(latency));
+        self.distances.to(&leaf.data_centre).unwrap_or_default()
     }
 
     fn routed_all(&self, view: &View, ranked: &[Candidate], now: Time) -> Vec<Choice> {
@@ -638,10 +566,3 @@
         | NotRun::Suspected => false,
     }
 }
-
-/// Rotates candidates for round robin.
-fn rotate(candidates: &mut [Candidate], turns: u64) {
-    let len = candidates.len() as u64;
-    let turn = turns.checked_rem(len).unwrap_or_default();
-    candidates.rotate_left(usize::try_from(turn).unwrap_or_default());
-}
--- a/crates/guavacourse/src/modules/replicas.rs
+++ b/crates/guavacourse/src/modules/replicas.rs
@@ -5,7 +5,7 @@
 use super::{
     catalog::{LeafId, LeafKey},
     latency::LatencyHistogram,
-    placement::load_report::LoadReport,
+    placement::{leaf_load::LeafLoad, load_report::LoadReport},
     snapshot::KnownVersions,
     time::{Time, micros},
 };
@@ -67,8 +67,8 @@
     avoid_until: Time,
     versions: KnownVersions,
     versions_updated: Time,
-    /// Load that the leaf reported last, and when.
-    load: Option<(LoadReport, Time)>,
+    /// Load and speed of the leaf.
+    pub(crate) load: LeafLoad,
 }
 
 impl LeafStats {
@@ -97,6 +97,7 @@
     /// probe is answered or the time of avoidance has passed.
     pub fn send(&mut self, now: Time) -> bool {
         self.pending += 1;
+        self.load.send(now);
         self.waiting_since.get_or_insert(now);
         let probe = self.failures > 0;
         if probe {
@@ -107,13 +108,29 @@
 
     /// Records the load that the leaf reported.
     pub fn report_load(&mut self, load: LoadReport, now: Time) {
-        self.load = Some((load, now));
+        self.load.report(load, now);
     }
 
     /// Returns the load that the leaf reported last, and its age.
     #[must_use]
     pub fn reported_load(&self, now: Time) -> Option<(LoadReport, Duration)> {
-        self.load.map(|(load, at)| (load, now.since(at)))
+        self.load.reported(now)
+    }
+
+    /// Records that a call has ended, with or without a report of the leaf's load.
+    pub(crate) fn end(&mut self, reported: bool) {
+        self.pending = self.pending.saturating_sub(1);
+        if !reported {
+            self.load.end_unreported();
+        }
+    }
+
+    /// Learns the work of a call from its latency and the distance to the leaf, which is
+    /// in microseconds.
+    pub(crate) fn record_work(&mut self, latency: Duration, distance: f64, now: Time) {
+        let expected = self.estimate(now) - distance;
+        self.load
+            .record(as_micros(latency) - distance, expected, now);
     }
 
     /// Records that the leaf takes no call before `until`.
