--- a/crates/guavacourse/src/modules/load_balancer.rs
+++ b/crates/guavacourse/src/modules/load_balancer.rs
@@ -18,7 +18,7 @@
     latency::LatencyHistogram,
     lateness::Lateness,
     members::Member,
-    placement::distances::Distances,
+    placement::{distances::Distances, load_report::LoadReport},
     query::plan::{Attempt, Slot},
     replicas::{Candidate, LeafStats, as_micros},
     round_robin::WeightedRoundRobin,
@@ -370,12 +370,11 @@
     pub(crate) fn replied(&mut self, kind: &str, attempt: &Attempt, reply: &Reply, now: Time) {
         let link_failed = self.link_failed(attempt.relay, attempt.sent);
         let latency = now.since(attempt.sent);
-        let mut distance = 0.0;
         if matches!(reply.outcome, Outcome::Rows(_)) {
             self.latency.record(latency);
             self.record_min_latency(attempt.leaf, latency);
-            distance = self.record_distance(attempt.leaf, latency);
         }
+        let distance = self.record_distance(attempt.leaf, latency, reply);
         let stats = self.leaves.entry(attempt.leaf).or_default();
         stats.end(reply.load.is_some());
         if let Some(load) = reply.load {
@@ -526,13 +525,16 @@
         }
     }
 
-    /// Records the latency of an answer from a leaf, and returns the distance to the leaf
-    /// in microseconds.
-    fn record_distance(&mut self, id: LeafId, latency: Duration) -> f64 {
+    /// Records how far a leaf is, if its answer tells, and returns the distance in
+    /// microseconds.
+    fn record_distance(&mut self, id: LeafId, latency: Duration, reply: &Reply) -> f64 {
         let Some(leaf) = self.view.catalog.leaf(id) else {
             return 0.0;
         };
-        self.distances.record(&leaf.data_centre, as_micros(latency));
+        let usual = reply.load.is_none_or(LoadReport::at_usual_pace);
+        if usual && matches!(reply.outcome, Outcome::Rows(_)) {
+            self.distances.record(&leaf.data_centre, as_micros(latency));
+        }
         self.distances.to(&leaf.data_centre).unwrap_or_default()
     }
 
--- a/crates/guavacourse/src/modules/placement/leaf_load.rs
+++ b/crates/guavacourse/src/modules/placement/leaf_load.rs
@@ -24,8 +24,12 @@
 const PACE_HALF_LIFE: Duration = Duration::from_secs(1);
 /// Time over which the mean pace of a leaf is taken.
 const MEAN_PACE_TIME: Duration = Duration::from_secs(10);
-/// Largest mean pace that an old report returns to, so that no leaf stays unused.
-const MAX_MEAN_PACE: f64 = 1.5;
+/// Half-life of the difference between the mean pace and the usual one while the leaf
+/// reports nothing, so that no leaf stays unused.
+const MEAN_PACE_HALF_LIFE: Duration = Duration::from_secs(10);
+/// Largest mean pace that an old report returns to. A machine at 12 times its usual pace
+/// recovers within seconds, one at 2.5 times may stay so.
+const MAX_MEAN_PACE: f64 = 3.0;
 /// Largest pace that is believed, as a multiple of the usual one.
 const MAX_PACE: f64 = 50.0;
 /// Half-life of the rate of calls.
@@ -168,8 +172,10 @@
         let Some((report, at)) = self.report else {
             return 1.0;
         };
+        let age = now.since(at);
         let mean = self.mean_pace.min(MAX_MEAN_PACE);
-        mean + (pace_of(report) - mean) * decay(now.since(at), PACE_HALF_LIFE)
+        let mean = 1.0 + (mean - 1.0) * decay(age, MEAN_PACE_HALF_LIFE);
+        mean + (pace_of(report) - mean) * decay(age, PACE_HALF_LIFE)
     }
 
     fn set_report(&mut self, report: LoadReport, at: Time) {
--- a/crates/guavacourse/src/modules/placement/load_report.rs
+++ b/crates/guavacourse/src/modules/placement/load_report.rs
@@ -2,6 +2,8 @@
 
 /// Pace of a machine that works as usual.
 pub const USUAL_PACE: u32 = 100;
+/// Largest pace at which a latency shows how far a leaf is, rather than how slow.
+const MAX_DISTANCE_PACE: u32 = 120;
 
 /// Load that a leaf reports in an answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -23,4 +25,10 @@
     pub fn has_free_slot(self) -> bool {
         self.running < self.slots
     }
+
+    /// Returns whether the machine works at about its usual pace.
+    #[must_use]
+    pub fn at_usual_pace(self) -> bool {
+        self.pace.is_none_or(|pace| pace <= MAX_DISTANCE_PACE)
+    }
 }
--- a/crates/guavacourse/src/modules/placement/spread.rs
+++ b/crates/guavacourse/src/modules/placement/spread.rs
@@ -36,10 +36,10 @@
         .iter()
         .take_while(|leaf| {
             let other = &leaf.candidate;
-            other.avoided == best.avoided && other.cost <= best.cost * CLOSE_FACTOR
+            other.avoided == best.avoided && other.cost <= best.cost * env("CF", CLOSE_FACTOR)
         })
         .map(|leaf| {
-            leaf.free * (best.cost.max(1.0) / leaf.candidate.cost.max(1.0)).powi(COST_POWER)
+            leaf.free.powf(env("FP", 1.0)) * (best.cost.max(1.0) / leaf.candidate.cost.max(1.0)).powf(env("CP", COST_POWER.into()))
         })
         .collect();
     let lead = drawn_index(&weights, draw);
@@ -60,3 +60,5 @@
     });
     found.unwrap_or_default()
 }
+
+fn env(n: &str, d: f64) -> f64 { std::env::var(n).ok().and_then(|v| v.parse().ok()).unwrap_or(d) }
--- /dev/null
+++ b/crates/guavacourse/tests/placement/main.rs
@@ -0,0 +1,10 @@
+//! Tests how calls are placed by the load that leaves report, without a network.
+//!
+//! `cargo test -p guavacourse --test placement -- --nocapture` prints the figures.
+
+mod even;
+#[allow(
+    clippy::cast_precision_loss,
+    reason = "numbers of calls are far below 2^52"
+)]
+mod replay;
