--- a/crates/guavacourse/schema/wire.capnp
+++ b/crates/guavacourse/schema/wire.capnp
@@ -215,7 +215,7 @@
 interface Feed {
   # Returns the changes after a position in the journal of an incarnation, as soon
   # as there are any, or after `waitMillis` at the latest.
-  follow @0 (incarnation :UInt64, sequence :UInt64, waitMillis :UInt32) -> (news :News);
+  follow @0 (incarnation :UInt64, sequence :UInt64, waitMillis :UInt32, revision :UInt64, era :UInt64) -> (news :News);
 }
 
 struct News {
@@ -231,6 +231,12 @@
   whole @4 :Bool;
   # JSON array of changes.
   changes @5 :Data;
+  # Time for which the process waited for changes before this answer.
+  heldMillis @6 :UInt64;
+  # True if the process cannot read the registry and depends on peers.
+  cutOff @7 :Bool;
+  # Era of the registry to which the revision belongs; 0 if its answers name none.
+  era @8 :UInt64;
 }
 
 interface Queries {
--- a/crates/guavacourse/src/edge/gateway/follow.rs
+++ b/crates/guavacourse/src/edge/gateway/follow.rs
@@ -1,6 +1,7 @@
 //! The control thread: follows the changes of the registry, directly or through a
 //! peer, and publishes the resulting state.
 
+mod backups;
 mod events;
 mod feed;
 pub(super) mod findings;
@@ -118,6 +119,9 @@
     revision: Cell<u64>,
     /// When this process last knew that it was up to date.
     fresh_at: Cell<Option<Time>>,
+    /// When this process lost the registry and began to depend on peers; `None` if it
+    /// reads the registry, or follows a process that does so for its data centre.
+    cut_off: Cell<Option<Time>>,
     /// When this process first knew the configuration and the fleet, without all
     /// leaves; `None` if it never did.
     fleet_known: Cell<Option<Time>>,
@@ -142,6 +146,7 @@
             waiters: RefCell::default(),
             revision: Cell::new(0),
             fresh_at: Cell::new(None),
+            cut_off: Cell::new(None),
             fleet_known: Cell::new(None),
             setup,
             registry,
@@ -157,6 +162,10 @@
                 state.after = None;
                 continue;
             }
+            if self.cut_off.get().is_some() {
+                self.recover(&mut state).await;
+                continue;
+            }
             let behind = self.is_behind(&plan);
             if plan.sources.is_empty() || behind || state.after.is_some() {
                 self.read_registry(&mut state, plan.watch_timeout).await;
@@ -195,6 +204,10 @@
     /// has brought it up to date in time.
     fn is_behind(&self, plan: &ReaderPlan) -> bool {
         let now = self.setup.clock.now();
+        let left = self.sources.cut_off().map(|at| now.since(at));
+        if left.is_some_and(|left| left >= plan.takeover) {
+            return true;
+        }
         match (self.age(), self.fleet_known.get()) {
             (Some(age), _) => age >= plan.fallback_age,
             (None, Some(known)) => now.since(known) >= plan.start_wait,
@@ -208,13 +221,21 @@
 
     /// Reads the whole registry, or waits once for changes after what was read.
     async fn read_registry(&self, state: &mut ReadState, wait: Duration) {
+        let known = self.revision.get();
+        // Peers may have brought this process further than its own readings did.
+        state.after = state.after.map(|after| after.max(known));
         let read = match state.after {
             None => self.registry.read().await,
             Some(after) => self.registry.watch(after, wait).await,
         };
         match read {
+            Ok(reading) if self.was_overtaken(known, &reading) => {
+                state.after = None;
+                self.end_cut_off();
+            }
             Ok(reading) => {
                 state.backoff.reset();
+                self.end_cut_off();
                 let whole = state.after.is_none();
                 let changed = !reading.changes.is_empty();
                 state.after = state.after.max(Some(reading.as_of));
@@ -234,13 +255,37 @@
         }
     }
 
+    /// Returns whether peers brought this process past a reading while it was made, so
+    /// that the reading is older than what is known.
+    fn was_overtaken(&self, before: u64, reading: &RegistryReading) -> bool {
+        let known = self.revision.get();
+        known > before && reading.as_of < known
+    }
+
     /// Records that the registry could not be read, and waits before the next call.
     async fn record_failure(&self, state: &mut ReadState, error: &RegistryError) {
         let now = self.setup.clock.now();
-        self.directory.borrow_mut().record_outage(now);
+        // A peer that reads the registry has told apart already which entries are missing
+        // because of an outage.
+        if !self.sources.has_backup() {
+            self.directory.borrow_mut().record_outage(now);
+        }
+        if self.cut_off.get().is_none() {
+            self.cut_off.set(Some(now));
+            self.wake_peers();
+        }
         state.backoff.wait(error).await;
     }
 
+    /// Records that this process gets the changes of the registry again without other
+    /// peers than its sources.
+    fn end_cut_off(&self) {
+        self.sources.end_backup();
+        if self.cut_off.take().is_some() {
+            self.wake_peers();
+        }
+    }
+
     /// Applies a reading of the registry that was up to date at `fresh_at`.
     /// `whole` says that it holds the whole registry, not only changes.
     fn apply_reading(&self, reading: RegistryReading, whole: bool, fresh_at: Time) {
--- a/crates/guavacourse/src/edge/gateway/follow/feed.rs
+++ b/crates/guavacourse/src/edge/gateway/follow/feed.rs
@@ -31,8 +31,12 @@
             sequence: params.get_sequence(),
         };
         let wait = Duration::from_millis(params.get_wait_millis().into()).min(MAX_WAIT);
+        let revision = params.get_revision();
+        let asked = self.0.setup.clock.now();
         self.0.wait_for_change(cursor, wait).await;
-        self.0.write_news(results.get().init_news(), cursor)
+        let mut news = results.get().init_news();
+        news.set_held_millis(floor_millis(self.0.setup.clock.now().since(asked)));
+        self.0.write_news(news, cursor, revision)
     }
 }
 
@@ -62,9 +66,15 @@
         }
     }
 
-    fn write_news(&self, mut out: news::Builder<'_>, cursor: Cursor) -> Result<()> {
+    /// Writes what a peer at `cursor` lacks. A peer with an unknown cursor that has seen
+    /// the registry up to the same `revision` holds the same state already, and one that
+    /// has seen more would ignore it; the whole state is not sent to these.
+    fn write_news(&self, mut out: news::Builder<'_>, cursor: Cursor, revision: u64) -> Result<()> {
         let journal = self.journal.borrow();
-        let missed = journal.since(cursor);
+        let mut missed = journal.since(cursor);
+        if missed == CatchUp::FullState && revision > 0 && revision >= self.revision.get() {
+            missed = CatchUp::Since(Vec::new());
+        }
         let whole = missed == CatchUp::FullState;
         let changes = match missed {
             CatchUp::Since(changes) => changes,
@@ -74,7 +84,8 @@
         out.set_incarnation(latest.incarnation);
         out.set_sequence(latest.sequence);
         out.set_revision(self.revision.get());
-        out.set_age_millis(self.age().map_or(u64::MAX, millis));
+        out.set_age_millis(self.age().map_or(u64::MAX, ceil_millis));
+        out.set_cut_off(self.cut_off.get().is_some());
         out.set_whole(whole);
         let text = serde_json::to_vec(&changes);
         let text = text.map_err(|error| capnp::Error::failed(error.to_string()))?;
@@ -83,6 +94,12 @@
     }
 }
 
-fn millis(duration: Duration) -> u64 {
+/// Rounds down. The times in an answer are rounded so that the peer never takes the state
+/// for newer than it is.
+fn floor_millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
+
+fn ceil_millis(duration: Duration) -> u64 {
+    floor_millis(duration).saturating_add(1)
+}
--- a/crates/guavacourse/src/edge/gateway/follow/sources.rs
+++ b/crates/guavacourse/src/edge/gateway/follow/sources.rs
@@ -18,6 +18,7 @@
         directory::{Change, RegistryReading},
         inventory::Address,
         journal::Cursor,
+        members::Member,
         readers::ReaderPlan,
         time::Time,
     },
@@ -34,11 +35,25 @@
 /// Time for which a source that did not answer is skipped.
 const AVOID_PERIOD: Duration = Duration::from_secs(1);
 
+/// What a source is asked.
+struct Question {
+    /// Longest time that it waits for changes.
+    wait: Duration,
+    /// When it is asked.
+    now: Time,
+    /// Revision of the registry up to which changes are known.
+    revision: u64,
+}
+
 /// Answer of a source.
 struct News {
     cursor: Cursor,
     revision: u64,
     age: Duration,
+    /// Time up to which the state is known to be up to date.
+    fresh_at: Time,
+    /// Whether the source itself depends on peers.
+    cut_off: bool,
     whole: bool,
     changes: Vec<Change>,
 }
@@ -52,6 +67,10 @@
     avoided: RefCell<Map<Address, Time>>,
     /// The source that is followed; `None` if none was up to date.
     current: Cell<Option<Address>>,
+    /// The peer that is followed while the registry cannot be read.
+    backup: Cell<Option<Address>>,
+    /// When the sources were first seen to depend on peers; `None` if they do not.
+    cut_off: Cell<Option<Time>>,
 }
 
 impl Sources {
@@ -64,13 +83,16 @@
             cursors: RefCell::default(),
             avoided: RefCell::default(),
             current: Cell::new(None),
+            backup: Cell::new(None),
+            cut_off: Cell::new(None),
         }
     }
 
     /// Asks a source for the changes after its cursor. Returns `None`, and skips
     /// the source for a while, if it does not answer.
-    async fn ask(&self, source: Address, wait: Duration, now: Time) -> Option<News> {
-        let reply = async { self.call(source, wait).await };
+    async fn ask(&self, source: Address, question: &Question) -> Option<News> {
+        let Question { wait, now, .. } = *question;
+        let reply = async { self.call(source, question).await };
         let timeout = async {
             Timer::after(wait + ANSWER_MARGIN).await;
             Err(capnp::Error::overloaded("no answer in time".to_owned()))
@@ -88,7 +110,7 @@
         }
     }
 
-    async fn call(&self, source: Address, wait: Duration) -> capnp::Result<News> {
+    async fn call(&self, source: Address, question: &Question) -> capnp::Result<News> {
         let connection = self.feeds.get(source).await?;
         let cursor = self.cursors.borrow().get(&source).copied();
         let cursor = cursor.unwrap_or_default();
@@ -96,22 +118,52 @@
         let mut params = request.get();
         params.set_incarnation(cursor.incarnation);
         params.set_sequence(cursor.sequence);
-        params.set_wait_millis(u32::try_from(wait.as_millis()).unwrap_or(u32::MAX));
+        let wait = question.wait.as_millis();
+        params.set_wait_millis(u32::try_from(wait).unwrap_or(u32::MAX));
+        params.set_revision(question.revision);
         let answer = request.send().promise.await?;
         let news = answer.get()?.get_news()?;
         let changes = serde_json::from_slice(news.get_changes()?);
+        let age = Duration::from_millis(news.get_age_millis());
+        let held = Duration::from_millis(news.get_held_millis());
         Ok(News {
             cursor: Cursor {
                 incarnation: news.get_incarnation(),
                 sequence: news.get_sequence(),
             },
             revision: news.get_revision(),
-            age: Duration::from_millis(news.get_age_millis()),
+            age,
+            // The time that the answer travelled counts as age, so that processes that
+            // follow each other do not keep an old state fresh.
+            fresh_at: question.now.after(held).before(age),
+            cut_off: news.get_cut_off(),
             whole: news.get_whole(),
             changes: changes.map_err(|error| capnp::Error::failed(error.to_string()))?,
         })
     }
 
+    /// Skips a source that was not up to date for a while.
+    fn avoid(&self, source: Address, now: Time) {
+        let until = now.after(AVOID_PERIOD);
+        self.avoided.borrow_mut().insert(source, until);
+    }
+
+    /// Returns whether a peer is followed because the registry cannot be read.
+    pub(super) fn has_backup(&self) -> bool {
+        self.backup.get().is_some()
+    }
+
+    /// Records that no peer is followed in place of the registry.
+    pub(super) fn end_backup(&self) {
+        self.backup.set(None);
+    }
+
+    /// Returns when the sources were first seen to depend on peers themselves; `None` if
+    /// they do not.
+    pub(super) fn cut_off(&self) -> Option<Time> {
+        self.cut_off.get()
+    }
+
     fn avoided(&self, source: Address, now: Time) -> bool {
         let avoided = self.avoided.borrow();
         avoided.get(&source).is_some_and(|until| now < *until)
@@ -122,17 +174,15 @@
     /// Applies the answer of the first source that is up to date. Returns whether
     /// there was one.
     pub(super) async fn follow_source(&self, plan: &ReaderPlan) -> bool {
+        let mut cut_off = false;
         for source in &plan.sources {
-            let (address, now) = (source.address, self.setup.clock.now());
-            if self.sources.avoided(address, now) {
-                continue;
-            }
+            let address = source.address;
             let current = self.sources.current.get() == Some(address);
-            let wait = if current { POLL_WAIT } else { Duration::ZERO };
-            let Some(news) = self.sources.ask(address, wait, now).await else {
+            let Some(news) = self.ask(address, current).await else {
                 continue;
             };
-            let fresh = news.age <= plan.max_age;
+            cut_off |= news.cut_off;
+            let fresh = news.age <= plan.max_age && !news.cut_off;
             if fresh && self.apply_news(address, news) {
                 if !current {
                     tracing::info!(
@@ -141,13 +191,63 @@
                     );
                 }
                 self.sources.current.set(Some(address));
+                self.sources.cut_off.set(None);
                 return true;
             }
         }
+        let now = self.setup.clock.now();
+        let since = self.sources.cut_off.get().unwrap_or(now);
+        self.sources.cut_off.set(cut_off.then_some(since));
         self.sources.current.set(None);
         false
     }
 
+    /// Applies the answer of the first of these processes that reads the registry and is
+    /// not older than `max_age`. One that has lost the registry too may know more than
+    /// this process, but is not followed: it may depend on this one. Returns whether
+    /// there was one to follow.
+    pub(super) async fn follow_backup(&self, peers: &[Member], max_age: Duration) -> bool {
+        for peer in peers {
+            let address = peer.address;
+            let current = self.sources.backup.get() == Some(address);
+            let Some(news) = self.ask(address, current).await else {
+                continue;
+            };
+            let usable = news.age <= max_age && !news.cut_off;
+            let newer = Some(news.fresh_at) > self.fresh_at.get();
+            let applied = (usable || newer) && self.apply_news(address, news);
+            if applied && usable {
+                if !current {
+                    tracing::info!(
+                        peer = peer.name,
+                        data_centre = peer.data_centre,
+                        "registry changes are followed through a peer until the registry \
+                         can be read"
+                    );
+                }
+                self.sources.backup.set(Some(address));
+                return true;
+            }
+            self.sources.avoid(address, self.setup.clock.now());
+        }
+        false
+    }
+
+    /// Asks a peer, unless it is to be skipped. The one that is followed may wait for a
+    /// change before it answers.
+    async fn ask(&self, peer: Address, current: bool) -> Option<News> {
+        let now = self.setup.clock.now();
+        if self.sources.avoided(peer, now) {
+            return None;
+        }
+        let question = Question {
+            wait: if current { POLL_WAIT } else { Duration::ZERO },
+            now,
+            revision: self.revision.get(),
+        };
+        self.sources.ask(peer, &question).await
+    }
+
     /// Applies the answer of a source. Returns `false` if the source has seen less
     /// of the registry than this process.
     fn apply_news(&self, source: Address, news: News) -> bool {
@@ -158,12 +258,11 @@
             .cursors
             .borrow_mut()
             .insert(source, news.cursor);
-        let fresh_at = self.setup.clock.now().before(news.age);
         let reading = RegistryReading {
             as_of: news.revision,
             changes: news.changes,
         };
-        self.apply_reading(reading, news.whole, fresh_at);
+        self.apply_reading(reading, news.whole, news.fresh_at);
         true
     }
 }
--- a/crates/guavacourse/src/modules/readers.rs
+++ b/crates/guavacourse/src/modules/readers.rs
@@ -8,11 +8,15 @@
 //! cost additional calls, so no agreement is needed: a process whose source stops
 //! answering or falls behind follows the next in the order, and reads the
 //! registry itself if none of them is up to date.
+//!
+//! A process whose own calls to the registry fail follows any process that can still
+//! read it: another one of its data centre, or else one of another data centre.
 
 use std::{cmp::Reverse, time::Duration};
 
 use super::{
     catalog::stable_hash,
+    collections::Map,
     members::{Member, MemberState},
     ownership::mix,
     shares::strong_members,
@@ -26,6 +30,14 @@
 /// follow.
 const MAX_SOURCES: usize = 3;
 
+/// Maximum number of processes of other data centres that a process without the
+/// registry asks. Each that does not answer costs 0.25 s.
+const MAX_REMOTE_SOURCES: usize = 4;
+
+/// Maximum number of these in one data centre, so that the loss of one link does not
+/// cut all of them off.
+const REMOTE_SOURCES_EACH: usize = 2;
+
 /// Longest wait of a watch on the registry. A silent connection is noticed
 /// shortly after it; together with a new reading this stays within 3 s, the
 /// tightest limit after which a leaving leaf must get no more work.
@@ -54,10 +66,22 @@
 pub struct ReaderPlan {
     /// Processes to follow, best first; empty if this one is to read the registry.
     pub sources: Vec<Member>,
+    /// Other processes of the data centre, best first, to follow while the registry
+    /// cannot be read.
+    pub backups: Vec<Member>,
+    /// Processes of other data centres to follow while the registry cannot be read and
+    /// no process of the own data centre is up to date.
+    pub remote: Vec<Member>,
     /// Maximum age at which the state of a source counts as up to date.
     pub max_age: Duration,
     /// Age of its own state from which the process reads the registry itself.
     pub fallback_age: Duration,
+    /// Time after the sources have lost the registry from which the process reads it
+    /// itself.
+    pub takeover: Duration,
+    /// Maximum age at which the state of a process of another data centre, which may
+    /// watch longer, counts as up to date.
+    pub remote_age: Duration,
     /// Time after its start from which a process that no source has served reads the
     /// registry itself. Zero for those that others may follow, and for those that
     /// cannot hand requests over until they know the leaves.
@@ -95,19 +119,17 @@
     #[must_use]
     pub fn plan<'a>(&self, members: impl IntoIterator<Item = &'a Member>) -> ReaderPlan {
         let eligible = |member: &&Member| {
-            member.state == MemberState::Live
-                && member.data_centre == self.data_centre
-                && !member.address.is_unspecified()
+            member.state == MemberState::Live && !member.address.is_unspecified()
         };
-        let mut candidates: Vec<&Member> = members.into_iter().filter(eligible).collect();
+        let (candidates, others): (Vec<&Member>, Vec<&Member>) = members
+            .into_iter()
+            .filter(eligible)
+            .partition(|member| member.data_centre == self.data_centre);
         let strong: Vec<&str> = strong_members(&candidates)
             .iter()
             .map(|m| m.name.as_str())
             .collect();
-        candidates.sort_by_cached_key(|member| {
-            let hash = mix(stable_hash(member.name.as_bytes()));
-            Reverse((strong.contains(&member.name.as_str()), hash))
-        });
+        let candidates = in_order(candidates);
         let own = candidates.iter().position(|member| member.name == self.own);
         let rank = own.unwrap_or(candidates.len());
         let shared = candidates.len() >= MIN_SHARING_PROCESSES;
@@ -127,12 +149,57 @@
         } else {
             Duration::ZERO
         };
+        let backups = candidates.iter().skip(sources);
+        let backups = backups.filter(|member| member.name != self.own);
         ReaderPlan {
+            backups: backups.take(MAX_SOURCES).copied().cloned().collect(),
+            remote: self.remote_sources(others),
             sources: candidates.into_iter().take(sources).cloned().collect(),
             max_age,
             fallback_age: max_age + FALLBACK_DELAY * steps,
+            takeover: FALLBACK_DELAY * steps,
+            remote_age: MAX_WATCH_TIMEOUT + SOURCE_LAG_TOLERANCE,
             start_wait,
             watch_timeout,
         }
     }
+    /// Returns the processes of other data centres to follow without the registry: first
+    /// one of each data centre, then a second one. The data centres come in an order that
+    /// differs between processes, which spreads the load.
+    fn remote_sources(&self, others: Vec<&Member>) -> Vec<Member> {
+        let mut data_centres: Map<&str, Vec<&Member>> = Map::default();
+        for member in others {
+            data_centres
+                .entry(&member.data_centre)
+                .or_default()
+                .push(member);
+        }
+        let own = stable_hash(self.own.as_bytes());
+        let mut found = Vec::new();
+        for (data_centre, members) in data_centres {
+            let hash = mix(own ^ stable_hash(data_centre.as_bytes()));
+            let first = in_order(members).into_iter().take(REMOTE_SOURCES_EACH);
+            found.extend(
+                first
+                    .enumerate()
+                    .map(|(place, member)| (place, hash, member)),
+            );
+        }
+        found.sort_unstable_by_key(|(place, hash, _)| (*place, *hash));
+        let found = found.into_iter().take(MAX_REMOTE_SOURCES);
+        found.map(|(_, _, member)| member.clone()).collect()
+    }
+}
+
+/// Returns the processes of one data centre in the order of the readers.
+fn in_order(mut members: Vec<&Member>) -> Vec<&Member> {
+    let strong: Vec<&str> = strong_members(&members)
+        .iter()
+        .map(|member| member.name.as_str())
+        .collect();
+    members.sort_by_cached_key(|member| {
+        let hash = mix(stable_hash(member.name.as_bytes()));
+        Reverse((strong.contains(&member.name.as_str()), hash))
+    });
+    members
 }
--- a/crates/guavacourse/tests/readers.rs
+++ b/crates/guavacourse/tests/readers.rs
@@ -119,3 +119,43 @@
     assert!(waits.iter().all(|wait| *wait < MAX_DELAY / 2), "{waits:?}");
     assert_eq!(plan("a-new", &[]).start_wait, Duration::ZERO);
 }
+
+// Guards against a process that has lost the registry and follows nobody: the first of
+// each data centre has no sources.
+#[test]
+fn every_process_has_others_to_follow_without_the_registry() {
+    for count in [2, 3, 11] {
+        let fleet = fleet(count);
+        for number in 0..count {
+            let own = format!("a-{number}");
+            let plan = plan(&own, &fleet);
+            let names = plan.sources.iter().chain(&plan.backups);
+            let names: Vec<&str> = names.map(|member| member.name.as_str()).collect();
+            assert_eq!(names.len(), (plan.sources.len() + 3).min(count - 1));
+            assert!(!names.contains(&own.as_str()));
+            assert!(plan.backups.iter().all(|peer| peer.data_centre == "a"));
+            assert_eq!(plan.remote.len(), 2);
+            assert!(plan.remote.iter().all(|peer| peer.data_centre == "b"));
+        }
+    }
+}
+
+// Guards against a process that asks one data centre only, which may have lost the
+// registry too, and against one that asks processes which only follow others.
+#[test]
+fn the_first_process_of_each_other_data_centre_is_asked_first() {
+    let names = ["a", "b", "c", "d"];
+    let members = names.iter().flat_map(|data_centre| {
+        (0..5).map(move |number| member(&format!("{data_centre}-{number}"), data_centre))
+    });
+    let fleet: Vec<Member> = members.collect();
+    let remote = plan("a-0", &fleet).remote;
+    assert_eq!(remote.len(), 4);
+    let mut first: Vec<&str> = remote[..3].iter().map(|m| m.data_centre.as_str()).collect();
+    first.sort_unstable();
+    assert_eq!(first, ["b", "c", "d"]);
+    for peer in &remote[..3] {
+        let own = Readers::new(&peer.name, &peer.data_centre, MAX_DELAY).plan(&fleet);
+        assert_eq!(own.sources, []);
+    }
+}
