--- a/crates/guavacourse/schema/wire.capnp
+++ b/crates/guavacourse/schema/wire.capnp
@@ -21,6 +21,10 @@
   # Returns the capability for delegating queries to this process. Fails on a
   # process that does not run queries for peers.
   queries @4 () -> (queries :Queries);
+
+  # Returns the capability for exchanging the use of quotas with this process.
+  # Fails on a process that keeps no quotas.
+  exchange @5 () -> (exchange :Exchange);
 }
 
 struct Summary {
@@ -300,3 +304,61 @@
   # It already runs its maximum number of queries.
   busy @2;
 }
+
+interface Exchange {
+  # Exchanges what each side knows of the use of quotas and of the load of leaves.
+  # Fails if this process is not the one that the caller should exchange with.
+  report @0 (report :UsageReport) -> (report :UsageReport);
+}
+
+struct UsageReport {
+  # Name of the sender.
+  sender @0 :Text;
+  # Chosen anew whenever the sender starts to count on this link.
+  nonce @1 :UInt64;
+  # Number of the report under this nonce, from 1.
+  sequence @2 :UInt32;
+  # Number of the last report that the sender has received on this link; 0 if none.
+  ack @3 :UInt32;
+  # Processes that the report covers.
+  members @4 :UInt32;
+  # Share of a core that the sender may use, in thousandths.
+  power @5 :UInt32;
+  # True if the caller is the first process of another data centre.
+  remote @6 :Bool;
+  # True if `usage` names every customer with a quota that was used.
+  whole @7 :Bool;
+  # True if the levels of the sender rest on a full window of counting.
+  settled @8 :Bool;
+  # Customers whose use changed since the last report that was acknowledged.
+  usage @9 :List(Usage);
+  # Only between processes of one data centre.
+  observations @10 :List(Observation);
+}
+
+struct Usage {
+  # Hash of the customer's name.
+  customer @0 :UInt64;
+  # Requests admitted since the sender started to count on this link.
+  admitted @1 :Int64;
+  # Requests asked, a second.
+  demand @2 :Float32;
+  # Usual demand of the processes from which the sender hears nothing.
+  silent @3 :Float32;
+  # Requests left in the sender's bucket.
+  level @4 :Float32;
+}
+
+struct Observation {
+  # Observation of a leaf.
+  leaf @0 :UInt64;
+  ageMillis @1 :UInt32;
+  running @2 :UInt32;
+  waiting @3 :UInt32;
+  # 0 if the leaf does not report its load.
+  slots @4 :UInt32;
+  # 0 if the leaf does not report it.
+  pace @5 :UInt32;
+  # Fraction of its recent calls that failed.
+  failures @6 :Float32;
+}
--- a/crates/guavacourse/src/edge/gateway/mod.rs
+++ b/crates/guavacourse/src/edge/gateway/mod.rs
@@ -7,6 +7,7 @@
 //! peers close to the leaves.
 
 mod call_router;
+mod exchange;
 mod explain;
 mod follow;
 mod freshness;
@@ -48,6 +49,7 @@
     extra::ExtraLimits,
     inventory::Address,
     members::{Member, Role},
+    quotas::Tolerance,
     view::View,
 };
 
@@ -87,6 +89,8 @@
     pub grace: Duration,
     /// How soon a revoked key must be refused.
     pub revocation: Revocation,
+    /// How far the fleet may exceed the quotas of customers.
+    pub tolerance: Tolerance,
 }
 
 impl GatewayConfig {
--- a/crates/guavacourse/src/edge/gateway/protocol.rs
+++ b/crates/guavacourse/src/edge/gateway/protocol.rs
@@ -66,6 +66,13 @@
         /// Why the request has not run.
         reason: String,
     },
+    /// The customer's quota is used up. The request has not run and never will.
+    OverQuota {
+        /// Delay after which it may be repeated.
+        retry_after: Duration,
+        /// Why the request has not run.
+        reason: String,
+    },
     /// The deadline has passed; the request may have run.
     Late,
     /// The leaves failed; the request may have run.
--- a/crates/guavacourse/src/edge/gateway/query_wire.rs
+++ b/crates/guavacourse/src/edge/gateway/query_wire.rs
@@ -130,7 +130,8 @@
             | CallerAnswer::Whole(_)
             | CallerAnswer::Invalid(_)
             | CallerAnswer::NotFound
-            | CallerAnswer::Unauthorized(_),
+            | CallerAnswer::Unauthorized(_)
+            | CallerAnswer::OverQuota { .. },
         ) => out.set_failed(()),
     }
 }
--- a/crates/guavacourse/src/edge/gateway/requests.rs
+++ b/crates/guavacourse/src/edge/gateway/requests.rs
@@ -67,6 +67,15 @@
         }
         time_limit = time_limit.min(departure.left);
     }
+    let refused = customer
+        .as_ref()
+        .and_then(|customer| traffic.exchange.admit(&view, customer));
+    if let Some(answer) = refused {
+        let elapsed = traffic.clock.now().since(started);
+        let label = result_label(&answer);
+        traffic.entry_metrics.record_request(&name, label, elapsed);
+        return answer;
+    }
     let deadline = time_limit.saturating_sub(DELIVERY_MARGIN);
     let age = traffic.wait_times.borrow_mut().waited(&name, time_limit);
     let request = QueryRequest {
@@ -76,7 +85,7 @@
         body: Arc::from(incoming.body),
         forward: Some(Arc::new(incoming.forwarded)),
         age,
-        customer,
+        customer: customer.clone(),
         only_services: Vec::new(),
     };
     let run = async {
@@ -90,6 +99,9 @@
         CallerAnswer::Late
     };
     let answer = run.or(expired).await;
+    if let (Some(customer), CallerAnswer::NotRun { .. }) = (&customer, &answer) {
+        traffic.exchange.refund(customer);
+    }
     let elapsed = traffic.clock.now().since(started);
     traffic
         .entry_metrics
@@ -235,6 +247,7 @@
         CallerAnswer::Invalid(_) | CallerAnswer::NotFound => "invalid",
         CallerAnswer::Unauthorized(_) => "unauthorized",
         CallerAnswer::NotRun { .. } => "not-run",
+        CallerAnswer::OverQuota { .. } => "over-quota",
         CallerAnswer::Late => "late",
         CallerAnswer::Failed => "failed",
     }
--- a/crates/guavacourse/src/edge/gateway/serve.rs
+++ b/crates/guavacourse/src/edge/gateway/serve.rs
@@ -19,8 +19,15 @@
 };
 
 use super::{
-    CallerProtocol, GatewayConfig, call_router::CallRouter, follow::findings::pass_on,
-    freshness::Freshness, listen::Listeners, peers::Peers, queries::QueryServer, requests,
+    CallerProtocol, GatewayConfig,
+    call_router::CallRouter,
+    exchange::{Exchange, ExchangeServer},
+    follow::findings::pass_on,
+    freshness::Freshness,
+    listen::Listeners,
+    peers::Peers,
+    queries::QueryServer,
+    requests,
     stopping::Stopping,
 };
 use crate::{
@@ -79,6 +86,8 @@
     pub(super) wait_times: RefCell<WaitEstimator>,
     pub(super) line_budget: RefCell<LineBudget>,
     pub(super) entry_metrics: EntryMetrics,
+    /// Quotas of customers.
+    pub(super) exchange: Rc<Exchange>,
     pub(super) stopping: Stopping,
     /// When the control thread last knew that it was up to date.
     pub(super) freshness: Freshness,
@@ -125,6 +134,14 @@
         let peers = Rc::new(Peers::new(&executor, self.clock, &balancer));
         let own = Address(self.config.callers);
         let router = CallRouter::new(relay, own, self.view.clone(), &peers, &executor);
+        let exchange = Exchange::new(
+            &executor,
+            self.clock,
+            self.view.clone(),
+            &self.config,
+            self.entry_metrics.quota_requests.clone(),
+        );
+        let exchange = Rc::new(exchange);
         let traffic = Rc::new(Traffic {
             clock: self.clock,
             view: self.view,
@@ -134,6 +151,7 @@
             wait_times: RefCell::default(),
             line_budget: RefCell::default(),
             entry_metrics: self.entry_metrics,
+            exchange: Rc::clone(&exchange),
             stopping: self.stopping,
             freshness: self.freshness,
             revocation: self.config.revocation,
@@ -160,6 +178,9 @@
             queries: Some(capnp_rpc::new_client(QueryServer {
                 traffic: Rc::clone(&traffic),
             })),
+            exchange: Some(capnp_rpc::new_client(ExchangeServer {
+                exchange: Rc::clone(&exchange),
+            })),
             ..NodeServer::default()
         };
         let peers = serve_fleet(listeners.queries, Rc::new(node), Rc::clone(&executor));
@@ -167,12 +188,14 @@
         if let Some(listener) = listeners.metrics {
             serving.push(executor.spawn(accept(&traffic, &executor, listener, serve_metrics)));
         }
+        serving.push(executor.spawn(Rc::clone(&exchange).run()));
         stop.wait().await;
         for task in serving {
             task.cancel().await;
         }
         traffic.tasks.cancel().await;
         traffic.peers.close().await;
+        exchange.close().await;
         if let Some(traffic) = Rc::into_inner(traffic) {
             traffic.router.stop(RELAY_STOP_TIMEOUT).await;
         }
--- a/crates/guavacourse/src/edge/metrics.rs
+++ b/crates/guavacourse/src/edge/metrics.rs
@@ -100,6 +100,8 @@
     pub(crate) calls: Counter<u64>,
     /// Changes in what leaves ask for, by kind.
     pub(crate) leaf_notices: Counter<u64>,
+    /// Requests of customers with quotas, by customer and decision.
+    pub(crate) quota_requests: Counter<u64>,
 }
 
 impl EntryMetrics {
@@ -110,6 +112,7 @@
             latency: meter.f64_histogram("latency_ms").build(),
             calls: meter.u64_counter("leaf_calls").build(),
             leaf_notices: meter.u64_counter("leaf_notices").build(),
+            quota_requests: meter.u64_counter("quota_requests").build(),
         }
     }
 
--- a/crates/guavacourse/src/edge/node.rs
+++ b/crates/guavacourse/src/edge/node.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     edge::fleet,
-    generated::wire_capnp::{feed, handover, node, peer, queries, relay},
+    generated::wire_capnp::{exchange, feed, handover, node, peer, queries, relay},
 };
 
 /// The capabilities that one process offers to the others.
@@ -22,6 +22,8 @@
     pub(crate) feed: Option<feed::Client>,
     /// Queries that it runs for other processes; on a gateway.
     pub(crate) queries: Option<queries::Client>,
+    /// Exchange of the use of quotas; on a gateway.
+    pub(crate) exchange: Option<exchange::Client>,
 }
 
 impl node::Server for NodeServer {
@@ -74,6 +76,16 @@
         results.get().set_queries(queries);
         Ok(())
     }
+
+    async fn exchange(
+        self: Rc<Self>,
+        _: node::ExchangeParams,
+        mut results: node::ExchangeResults,
+    ) -> capnp::Result<()> {
+        let exchange = self.exchange.clone().ok_or_else(|| missing("exchange"))?;
+        results.get().set_exchange(exchange);
+        Ok(())
+    }
 }
 
 /// Serves other processes until the future is dropped, which closes all
