--- a/crates/guavacourse/src/edge/gateway/exchange.rs
+++ b/crates/guavacourse/src/edge/gateway/exchange.rs
@@ -44,8 +44,11 @@
 /// be silent for 100 ms.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Time for which a process that did not answer is not called; the next one in the order
-/// takes its place.
+/// Number of calls in a row without an answer after which another process takes the place
+/// of the one that was called. One late answer is no reason to change.
+const MAX_FAILURES: u32 = 2;
+
+/// Time for which a process that does not answer is not called.
 const AVOID_PERIOD: Duration = Duration::from_secs(3);
 
 /// Maximum number of customers with metrics of their own.
@@ -67,6 +70,8 @@
     pool: Pool<exchange::Client>,
     /// Processes that did not answer, and the time until which each is avoided.
     avoided: RefCell<Map<String, Time>>,
+    /// Number of calls in a row that a process did not answer.
+    failures: RefCell<Map<String, u32>>,
     /// Processes that are being called.
     calling: RefCell<Set<String>>,
     tasks: Tasks,
@@ -103,6 +108,7 @@
                 node.exchange_request().send().pipeline.get_exchange()
             }),
             avoided: RefCell::default(),
+            failures: RefCell::default(),
             calling: RefCell::default(),
             tasks: Tasks::default(),
             requests,
@@ -222,6 +228,7 @@
         let now = self.clock.now();
         match answer {
             Ok(message) => {
+                self.failures.borrow_mut().remove(&partner.name);
                 let mut quotas = self.quotas.borrow_mut();
                 quotas.receive(&partner.name, partner.role, &message.report, now);
                 drop(quotas);
@@ -230,8 +237,14 @@
             Err(error) => {
                 tracing::debug!(partner = partner.name, %error, "no exchange of quotas with a peer");
                 self.pool.remove(partner.address);
-                let until = now.after(AVOID_PERIOD);
-                self.avoided.borrow_mut().insert(partner.name, until);
+                let mut failures = self.failures.borrow_mut();
+                let count = failures.entry(partner.name.clone()).or_default();
+                *count += 1;
+                if *count >= MAX_FAILURES {
+                    failures.remove(&partner.name);
+                    let until = now.after(AVOID_PERIOD);
+                    self.avoided.borrow_mut().insert(partner.name, until);
+                }
             }
         }
     }
--- a/crates/guavacourse/src/modules/quotas.rs
+++ b/crates/guavacourse/src/modules/quotas.rs
@@ -228,6 +228,7 @@
         };
         let quiet = link.heard.is_none_or(|heard| now.since(heard) >= MAX_QUIET);
         quiet
+            || link.news
             || !link.confirmed()
             || self.accounts.iter().any(|(id, account)| {
                 let flow = link.flow(*id);
@@ -291,7 +292,14 @@
         link.heard = Some(now);
         link.members = report.members;
         link.acked = report.ack;
+        link.news = !report.usage.is_empty();
         let told = role == Role::Parent && link.confirmed();
+        // A child follows the level of its parent, so that nothing that it misses makes
+        // it differ for long. A process that knows nothing follows any other.
+        let follows = match role {
+            Role::Parent => report.settled || !self.settled,
+            Role::Child | Role::Peer => report.settled && !self.settled,
+        };
         let adopted = !self.settled && report.settled && report.whole;
         for usage in &report.usage {
             let flow = link.flows.entry(usage.customer).or_default();
@@ -312,14 +320,15 @@
             if role == Role::Child {
                 account.below += learned;
             }
-            if adopted {
-                account.level = usage.level.min(account.capacity());
+            if follows {
+                let unreported = account.below - flow.zero - flow.sent;
+                account.follow(usage.level, unreported, now);
             } else {
                 account.debit_learned(learned, returned);
             }
         }
         if adopted {
-            self.adopt(report);
+            self.adopt(report, now);
         }
         if told {
             self.note_told(partner);
@@ -378,11 +387,11 @@
 
     /// Takes over the levels of a process that has counted for longer. Customers that
     /// it does not name have used nothing.
-    fn adopt(&mut self, report: &Report) {
+    fn adopt(&mut self, report: &Report, now: Time) {
         let named: Set<CustomerId> = report.usage.iter().map(|usage| usage.customer).collect();
         for (id, account) in &mut self.accounts {
             if !named.contains(id) {
-                account.level = account.capacity();
+                account.follow(account.capacity(), 0, now);
             }
         }
         self.settled = true;
@@ -467,7 +476,8 @@
             }
             let admitted = counter(account, role, &flow);
             let unused = admitted == 0 && demand < f64::EPSILON && silent < f64::EPSILON;
-            if unused && account.level >= account.capacity() {
+            let level = account.level_at(now);
+            if unused && level >= account.capacity() {
                 continue;
             }
             usages.push(Usage {
@@ -475,7 +485,7 @@
                 admitted,
                 demand,
                 silent,
-                level: account.level,
+                level,
             });
         }
         usages
--- a/crates/guavacourse/src/modules/quotas/account.rs
+++ b/crates/guavacourse/src/modules/quotas/account.rs
@@ -121,14 +121,28 @@
     /// Refills the bucket up to now. A process that does not hear from all others uses
     /// only the covered part of the bucket.
     pub(super) fn refill(&mut self, now: Time, covered: f64) {
-        let elapsed = now.since(self.refilled).as_secs_f64();
-        self.refilled = now;
         if covered < self.covered {
             self.level *= covered / self.covered;
         }
         self.covered = covered;
-        let level = self.level + elapsed * self.quota.rate * covered;
-        self.level = level.min(self.capacity() * covered);
+        self.level = self.level_at(now);
+        self.refilled = now;
+    }
+
+    /// Returns the level at a time.
+    pub(super) fn level_at(&self, now: Time) -> f64 {
+        let elapsed = now.since(self.refilled).as_secs_f64();
+        let level = self.level + elapsed * self.quota.rate * self.covered;
+        level.min(self.capacity() * self.covered)
+    }
+
+    /// Takes over the level of another process, less the requests that were admitted
+    /// here and that it does not know of.
+    pub(super) fn follow(&mut self, level: f64, unreported: i64, now: Time) {
+        #[allow(clippy::cast_precision_loss, reason = "counts of requests are small")]
+        let unreported = unreported as f64;
+        self.refilled = now;
+        self.level = (level - unreported).min(self.capacity());
     }
 
     /// Takes out requests that ran elsewhere; puts back those that did not run after
--- a/crates/guavacourse/src/modules/quotas/link.rs
+++ b/crates/guavacourse/src/modules/quotas/link.rs
@@ -28,6 +28,8 @@
     pub(super) heard_sequence: u32,
     /// When the last report arrived.
     pub(super) heard: Option<Time>,
+    /// Whether the last report named any customer, so that there may soon be more.
+    pub(super) news: bool,
     /// Whether the loss of the other process was noted.
     pub(super) lost: bool,
     /// Processes that its reports cover.
@@ -64,6 +66,7 @@
             heard_nonce: 0,
             heard_sequence: 0,
             heard: None,
+            news: false,
             lost: false,
             members: 0,
             flows: Map::default(),
