--- a/crates/guavacourse/src/modules/quotas.rs
+++ b/crates/guavacourse/src/modules/quotas.rs
@@ -324,7 +324,7 @@
                 let unreported = account.below - flow.zero - flow.sent;
                 account.follow(usage.level, unreported, now);
             } else {
-                account.debit_learned(learned, returned);
+                account.debit_learned(learned, returned, now);
             }
         }
         if adopted {
--- a/crates/guavacourse/src/modules/quotas/account.rs
+++ b/crates/guavacourse/src/modules/quotas/account.rs
@@ -155,7 +155,8 @@
     /// Takes out requests of others that were learned of. If they ran while the others
     /// were not heard from, this process has left them their part, and the bucket is at
     /// most emptied.
-    pub(super) fn debit_learned(&mut self, learned: i64, returned: bool) {
+    pub(super) fn debit_learned(&mut self, learned: i64, returned: bool, now: Time) {
+        self.refill(now, self.covered);
         #[allow(clippy::cast_precision_loss, reason = "counts of requests are small")]
         let mut requests = learned as f64;
         if returned {
