--- a/crates/guavacourse/src/edge/gateway/mod.rs
+++ b/crates/guavacourse/src/edge/gateway/mod.rs
@@ -7,6 +7,7 @@
 //! peers close to the leaves.
 
 mod call_router;
+mod exchange;
 mod explain;
 mod follow;
 mod freshness;
@@ -48,6 +49,7 @@
     extra::ExtraLimits,
     inventory::Address,
     members::{Member, Role},
+    quotas::Tolerance,
     view::View,
 };
 
@@ -89,6 +91,8 @@
     pub revocation: Revocation,
     /// Time for which a leaf serves after it has announced that it leaves.
     pub drain: Duration,
+    /// How far the fleet may exceed the quotas of customers.
+    pub tolerance: Tolerance,
 }
 
 impl GatewayConfig {
