--- a/crates/guavacourse/src/modules/quotas/account.rs
+++ b/crates/guavacourse/src/modules/quotas/account.rs
@@ -103,8 +103,8 @@
 
     /// Changes the quota; a bucket that holds more than it may is cut.
     pub(super) fn configure(&mut self, quota: Quota, tolerance: &Tolerance) {
-        self.quota = quota;
-        self.tolerance = tolerance.requests(&quota);
+        self.quota = tolerance.granted(&quota);
+        self.tolerance = tolerance.reserved(&quota);
         self.level = self.level.min(self.capacity());
     }
 
