--- a/crates/guavacourse/src/modules/quotas.rs
+++ b/crates/guavacourse/src/modules/quotas.rs
@@ -108,6 +108,8 @@
     /// Whether the levels rest on a full window of counting.
     settled: bool,
     usual_at: Time,
+    /// Whether all processes were heard from at the last refill of all buckets.
+    complete: bool,
     events: Vec<Event>,
     random: fastrand::Rng,
 }
@@ -125,6 +127,7 @@
             started: None,
             settled: false,
             usual_at: Time::default(),
+            complete: false,
             events: Vec::new(),
             random: fastrand::Rng::with_seed(seed),
         }
@@ -139,6 +142,7 @@
     ) {
         let members: Set<&str> = members.into_iter().collect();
         self.members = u32::try_from(members.len()).unwrap_or(u32::MAX).max(1);
+        self.complete = false;
         self.links
             .retain(|name, link| members.contains(name.as_str()) || link.live(now));
         let mut known = Set::default();
@@ -270,6 +274,7 @@
     /// Applies the report of a process. Reports that are older than one that arrived
     /// are ignored.
     pub fn receive(&mut self, partner: &str, role: Role, report: &Report, now: Time) {
+        self.refill(now);
         self.link_with(partner, role);
         let Some(link) = self.links.get_mut(partner) else {
             return;
@@ -279,6 +284,10 @@
             return;
         }
         let baseline = !known && report.sequence != 1;
+        if baseline && !report.whole {
+            // The sender learns by the number of the last report that it has to send all.
+            return;
+        }
         if !known {
             link.heard_nonce = report.nonce;
             for flow in link.flows.values_mut() {
@@ -365,9 +374,24 @@
                 });
             }
         }
+        self.refill(now);
         self.update_usual(now);
     }
 
+    /// Refills the buckets if the process does not hear from all others, or has heard
+    /// from all of them only since the last time.
+    fn refill(&mut self, now: Time) {
+        let complete = heard_members(&self.links, now) >= self.members;
+        if complete && self.complete {
+            return;
+        }
+        self.complete = complete;
+        for (id, account) in &mut self.accounts {
+            let others = others(account, *id, &self.links, self.members, now);
+            account.refill(now, others.covered);
+        }
+    }
+
     /// Updates the usual demand, unless a process is silent: its share of the quota
     /// rests on the demand before.
     fn update_usual(&mut self, now: Time) {
