--- a/crates/guavacourse/tests/quotas/contention.rs
+++ b/crates/guavacourse/tests/quotas/contention.rs
@@ -2,7 +2,16 @@
 
 use std::time::Duration;
 
-use crate::{fleet::Fleet, steady::customers};
+use guavacourse::modules::{
+    customers::{Customer, Quota},
+    quotas::{Quotas, Verdict},
+    time::Time,
+};
+
+use crate::{
+    fleet::{Fleet, TOLERANCE, count},
+    steady::customers,
+};
 
 /// Guards against a customer that suddenly sends 7.5 times as much getting more than the
 /// quota and the tolerance allow, whether it is large or small, and against the others
@@ -19,7 +28,7 @@
         let rate = fleet.loads[jumping].customer.quota.expect("a quota").rate;
         let wronged = fleet.wronged() - tally.wronged;
         fleet.check_bound();
-        assert!(tally.admitted.len() as f64 >= 0.85 * rate * 30.0);
+        assert!(count(&tally.admitted) >= 0.85 * rate * 30.0);
         assert!(wronged <= 1);
     }
 }
@@ -42,3 +51,57 @@
     fleet.run(Duration::from_secs(20));
     fleet.check_bound();
 }
+
+/// Guards against all refused requests being told to come back at the same moment: each
+/// is given the next time at which there is room, at most 5 s ahead.
+#[test]
+fn retry_times_are_spread() {
+    let customer = Customer {
+        name: "c".to_owned(),
+        quota: Some(Quota {
+            rate: 10.0,
+            burst: 10.0,
+        }),
+        ..Customer::default()
+    };
+    let mut quotas = Quotas::new(TOLERANCE, 26);
+    quotas.configure([&customer], ["p"], Time::default());
+    let mut retries = Vec::new();
+    for request in 0..400 {
+        let now = Time(request * 1_000);
+        if let Verdict::Refused { retry_after, .. } = quotas.admit("c", now) {
+            retries.push(now.after(retry_after));
+            assert!(retry_after <= Duration::from_millis(5_100));
+        }
+    }
+    assert!(retries.len() > 300);
+    retries.sort();
+    for second in 1..4 {
+        let start = Time(second * 1_000_000);
+        let end = start.after(Duration::from_secs(1));
+        let inside = retries
+            .iter()
+            .filter(|at| (start..end).contains(at))
+            .count();
+        assert!((5..=15).contains(&inside), "{inside} in second {second}");
+    }
+}
+
+/// Guards against a customer paying for requests that reached no leaf.
+#[test]
+fn refunds_make_room() {
+    let customer = Customer {
+        name: "c".to_owned(),
+        quota: Some(Quota {
+            rate: 0.1,
+            burst: 3.0,
+        }),
+        ..Customer::default()
+    };
+    let mut quotas = Quotas::new(TOLERANCE, 27);
+    quotas.configure([&customer], ["p"], Time::default());
+    for request in 0..200 {
+        assert_eq!(quotas.admit("c", Time(request * 1_000)), Verdict::Admitted);
+        quotas.refund("c");
+    }
+}
--- a/crates/guavacourse/tests/quotas/failures.rs
+++ b/crates/guavacourse/tests/quotas/failures.rs
@@ -106,6 +106,37 @@
     fleet.check_bound();
 }
 
+/// Guards against the same where the clock of the process does not show the time for which
+/// it was suspended: it takes what it knows for recent.
+#[test]
+fn process_with_a_stopped_clock_does_not_admit_its_backlog() {
+    let mut fleet = overloaded(41);
+    fleet.run(Duration::from_secs(5));
+    for process in [0, 7, 20, 33] {
+        fleet.stop_clock(process, Duration::from_secs(6));
+    }
+    fleet.run(Duration::from_secs(15));
+    fleet.check_bound();
+}
+
+/// Guards against processes that come back from a partition, or are cut off, using more
+/// than the quota while a customer jumps.
+#[test]
+fn jump_during_a_partition_is_kept_to_the_quota() {
+    let mut fleet = Fleet::large(customers(), 42);
+    fleet.run(Duration::from_secs(20));
+    fleet.clear();
+    fleet.sides = (0..62).map(|process| process % 3).collect();
+    fleet.run(Duration::from_secs(4));
+    for load in &mut fleet.loads[..20] {
+        load.factor = 7.5;
+    }
+    fleet.run(Duration::from_secs(12));
+    fleet.sides = vec![0; 62];
+    fleet.run(Duration::from_secs(10));
+    fleet.check_bound();
+}
+
 /// Guards against lost reports being taken for less use.
 #[test]
 fn lost_reports_do_not_loosen_the_quota() {
--- a/crates/guavacourse/tests/quotas/fleet.rs
+++ b/crates/guavacourse/tests/quotas/fleet.rs
@@ -71,6 +71,8 @@
     calling: BTreeMap<String, Time>,
     /// Until when it is suspended.
     frozen: Time,
+    /// Time that its clock has missed.
+    missed: Duration,
     /// Requests that arrived while it was suspended.
     backlog: Vec<usize>,
 }
@@ -152,6 +154,7 @@
                 reach: Reach::default(),
                 calling: BTreeMap::new(),
                 frozen: Time::default(),
+                missed: Duration::ZERO,
                 backlog: Vec::new(),
             });
         }
@@ -183,11 +186,10 @@
     pub fn configure_one(&mut self, process: usize) {
         let names: Vec<String> = self.members().into_iter().map(|m| m.name).collect();
         let customers: Vec<Customer> = self.loads.iter().map(|l| l.customer.clone()).collect();
-        self.processes[process].quotas.configure(
-            &customers,
-            names.iter().map(String::as_str),
-            self.now,
-        );
+        let now = self.clock(process);
+        self.processes[process]
+            .quotas
+            .configure(&customers, names.iter().map(String::as_str), now);
     }
 
     /// Restarts a process, which loses all that it knows.
@@ -207,6 +209,17 @@
         self.processes[process].frozen = self.now.after(duration);
     }
 
+    /// Suspends a process and its clock for a time.
+    pub fn stop_clock(&mut self, process: usize, duration: Duration) {
+        self.freeze(process, duration);
+        self.processes[process].missed += duration;
+    }
+
+    /// Returns the time that the clock of a process shows.
+    fn clock(&self, process: usize) -> Time {
+        self.now.before(self.processes[process].missed)
+    }
+
     /// Runs the fleet for a time.
     pub fn run(&mut self, duration: Duration) {
         let end = self.now.after(duration);
@@ -254,7 +267,7 @@
             let bound = allowed + self.tolerance.requests(&quota);
             let most = most_in_window(&tally.admitted, self.tolerance.window);
             assert!(
-                most as f64 <= bound,
+                f64::from(most) <= bound,
                 "{} had {most} requests admitted in a window, which may have {bound}",
                 load.customer.name
             );
@@ -290,7 +303,8 @@
             return;
         }
         let name = &self.loads[customer].customer.name;
-        let verdict = self.processes[process].quotas.admit(name, self.now);
+        let now = self.clock(process);
+        let verdict = self.processes[process].quotas.admit(name, now);
         let tally = &mut self.tallies[customer];
         tally.asked.push(self.now);
         let quota = self.loads[customer].customer.quota.expect("a quota");
@@ -313,10 +327,10 @@
 
     /// Lets a process call its partners.
     fn tick(&mut self, number: usize) {
-        let now = self.now;
-        if now < self.processes[number].frozen {
+        if self.now < self.processes[number].frozen {
             return;
         }
+        let now = self.clock(number);
         for customer in std::mem::take(&mut self.processes[number].backlog) {
             self.request(number, customer);
         }
@@ -341,7 +355,7 @@
             self.entries += report.usage.len();
             let to = partner.name[2..].parse().expect("a number");
             let message = Message {
-                arrival: now,
+                arrival: self.now,
                 from: number,
                 to,
                 call: true,
@@ -359,7 +373,7 @@
     }
 
     fn fail_calls(&mut self, number: usize) {
-        let now = self.now;
+        let now = self.clock(number);
         let process = &mut self.processes[number];
         let late: Vec<String> = process
             .calling
@@ -375,7 +389,7 @@
 
     fn partners(&self, number: usize) -> Partners {
         let process = &self.processes[number];
-        let answers = |name: &str| process.reach.answers(name, self.now);
+        let answers = |name: &str| process.reach.answers(name, self.clock(number));
         Partners::select(&process.member, &self.members(), answers)
     }
 
@@ -395,6 +409,7 @@
                 continue;
             }
             let name = self.processes[message.from].member.name.clone();
+            let now = self.clock(message.to);
             let process = &mut self.processes[message.to];
             process.reach.answered(&name);
             if process.calling.remove(&name).is_some() {
@@ -415,13 +430,13 @@
             return;
         }
         let role = if remote { Role::Peer } else { Role::Child };
-        let now = self.now;
+        let now = self.clock(message.to);
         let quotas = &mut self.processes[message.to].quotas;
         quotas.receive(&caller.name, role, &message.report, now);
         let report = quotas.report(&caller.name, role, now);
         self.entries += report.usage.len();
         let answer = Message {
-            arrival: now,
+            arrival: self.now,
             from: message.to,
             to: message.from,
             call: false,
@@ -457,8 +472,8 @@
     sides: &[usize],
     mut message: Message,
 ) {
-    let lost = random.f64() < loss || sides[message.from] != sides[message.to];
-    if !lost {
+    let cut = random.f64() < loss || sides[message.from] != sides[message.to];
+    if !cut {
         let delay = Duration::from_micros(random.u64(4_000..12_000));
         message.arrival = message.arrival.after(delay);
         messages.push(message);
@@ -466,7 +481,7 @@
 }
 
 /// Returns the most of these times, which are in order, that lie in one window.
-pub fn most_in_window(times: &[Time], window: Duration) -> usize {
+pub fn most_in_window(times: &[Time], window: Duration) -> u32 {
     let mut first = 0;
     let mut most = 0;
     for (last, time) in times.iter().enumerate() {
@@ -475,5 +490,10 @@
         }
         most = most.max(last + 1 - first);
     }
-    most
+    u32::try_from(most).expect("few requests")
+}
+
+/// Returns the number of requests.
+pub fn count(times: &[Time]) -> f64 {
+    f64::from(u32::try_from(times.len()).expect("few requests"))
 }
--- a/crates/guavacourse/tests/quotas/steady.rs
+++ b/crates/guavacourse/tests/quotas/steady.rs
@@ -24,7 +24,7 @@
     let mut fleet = Fleet::large(customers(), 11);
     fleet.run(Duration::from_secs(10));
     fleet.clear();
-    fleet.run(Duration::from_secs(60));
+    fleet.run(Duration::from_mins(1));
     let (asked, refused) = fleet.refused();
     let wronged = fleet.wronged();
     assert!(refused * 500 <= asked, "{refused} of {asked}");
@@ -40,7 +40,7 @@
     let mut fleet = Fleet::large(loads.collect(), 12);
     fleet.run(Duration::from_secs(10));
     fleet.clear();
-    fleet.run(Duration::from_secs(120));
+    fleet.run(Duration::from_mins(2));
     let (asked, refused) = fleet.refused();
     assert!(refused * 100 <= asked, "{refused} of {asked}");
     assert_eq!(fleet.wronged(), 0);
