--- a/crates/guavacourse/tests/quotas/contention.rs
+++ b/crates/guavacourse/tests/quotas/contention.rs
@@ -70,20 +70,28 @@
     for request in 0..400 {
         let now = Time(request * 1_000);
         if let Verdict::Refused { retry_after, .. } = quotas.admit("c", now) {
-            retries.push(now.after(retry_after));
             assert!(retry_after <= Duration::from_millis(5_100));
+            retries.push(now.after(retry_after));
         }
     }
     assert!(retries.len() > 300);
-    retries.sort();
-    for second in 1..4 {
+    let inside = |retries: &[Time], second: u64| {
         let start = Time(second * 1_000_000);
         let end = start.after(Duration::from_secs(1));
-        let inside = retries
+        retries
             .iter()
             .filter(|at| (start..end).contains(at))
-            .count();
-        assert!((5..=15).contains(&inside), "{inside} in second {second}");
+            .count()
+    };
+    // The first ones fill the 5 s in which there is room for 10 a second.
+    for second in 1..4 {
+        let inside = inside(&retries[..45], second);
+        assert!((7..=13).contains(&inside), "{inside} in second {second}");
+    }
+    // There is no room for the others; they do not come back together either.
+    for second in 3..5 {
+        let inside = inside(&retries[45..], second);
+        assert!((90..=190).contains(&inside), "{inside} in second {second}");
     }
 }
 
