--- a/crates/guavacourse/src/edge/gateway/serve.rs
+++ b/crates/guavacourse/src/edge/gateway/serve.rs
@@ -121,6 +121,7 @@
         let balancer = LoadBalancer::new(&self.config.data_centre)
             .with_extra(self.config.extra)
             .with_peers(self.config.member());
+        self.metrics.observe_placement(&balancer.placement_counts());
         let balancer = Rc::new(RefCell::new(balancer));
         let peers = Rc::new(Peers::new(&executor, self.clock, &balancer));
         let own = Address(self.config.callers);
--- a/crates/guavacourse/src/edge/metrics.rs
+++ b/crates/guavacourse/src/edge/metrics.rs
@@ -20,6 +20,8 @@
     },
 };
 
+use crate::modules::placement::counts::PlacementCounts;
+
 /// Time between two collections while no scraper reads the metrics.
 const COLLECTION_INTERVAL: Duration = Duration::from_mins(1);
 
@@ -65,6 +67,23 @@
             .build();
     }
 
+    /// Adds the counters of the calls that are placed by load.
+    pub(crate) fn observe_placement(&self, counts: &Arc<PlacementCounts>) {
+        type Read = fn(&PlacementCounts) -> u64;
+        let counters: [(&'static str, Read); 6] = [
+            ("placed_near", |counts| counts.near.get()),
+            ("placed_spread", |counts| counts.spread.get()),
+            ("placed_by_peer_report", |counts| counts.peer_report.get()),
+            ("observations_sent", |counts| counts.sent.get()),
+            ("observations_received", |counts| counts.received.get()),
+            ("observations_merged", |counts| counts.merged.get()),
+        ];
+        for (name, read) in counters {
+            let counts = Arc::clone(counts);
+            self.observe_counter(name, move || read(&counts));
+        }
+    }
+
     /// Collects all instruments and returns them as text. It blocks briefly.
     #[must_use]
     pub fn scrape(&self) -> String {
--- a/crates/guavacourse/src/modules/load_balancer.rs
+++ b/crates/guavacourse/src/modules/load_balancer.rs
@@ -18,7 +18,10 @@
     latency::LatencyHistogram,
     lateness::Lateness,
     members::Member,
-    placement::{distances::Distances, load_board::LoadBoard, load_report::LoadReport},
+    placement::{
+        counts::PlacementCounts, distances::Distances, load_board::LoadBoard,
+        load_report::LoadReport,
+    },
     query::plan::{Attempt, Slot},
     replicas::{Candidate, LeafStats, as_micros},
     round_robin::WeightedRoundRobin,
@@ -65,6 +68,7 @@
     pub(super) distances: Distances,
     /// Observations of leaves for the next exchange.
     pub(super) board: LoadBoard,
+    pub(super) placed: Arc<PlacementCounts>,
     kinds: Vec<KindStats>,
     routing: Routing,
     dropped_replies: u64,
@@ -116,6 +120,7 @@
             min_latencies: Map::default(),
             distances: Distances::default(),
             board: LoadBoard::default(),
+            placed: Arc::default(),
             kinds: Vec::new(),
             routing: Routing::default(),
             dropped_replies: 0,
@@ -351,6 +356,7 @@
     /// that is down. Other calls avoid that leaf or relay meanwhile.
     pub(crate) fn sent(&mut self, leaf: LeafId, relay: Address, now: Time) -> bool {
         self.sends += 1;
+        self.count_placed(leaf);
         let probe = self.leaves.entry(leaf).or_default().send(now);
         let down = self.routing.is_down(relay);
         if down {
--- a/crates/guavacourse/src/modules/placement.rs
+++ b/crates/guavacourse/src/modules/placement.rs
@@ -1,5 +1,6 @@
 //! Where calls go: what is known of the load of leaves, and how calls are spread.
 
+pub mod counts;
 pub(crate) mod distances;
 pub(crate) mod leaf_load;
 pub mod load_board;
--- a/crates/guavacourse/src/modules/placement/load_board.rs
+++ b/crates/guavacourse/src/modules/placement/load_board.rs
@@ -70,18 +70,6 @@
     fresh: Map<LeafId, Noted>,
     /// What was shared of each leaf last.
     shared: Map<LeafId, Noted>,
-    counts: ExchangeCounts,
-}
-
-/// Numbers of observations since the process started.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct ExchangeCounts {
-    /// Sent to peers.
-    pub sent: u64,
-    /// Received from peers.
-    pub received: u64,
-    /// Received ones that were newer than what was known.
-    pub merged: u64,
 }
 
 impl LoadBoard {
@@ -97,7 +85,6 @@
     /// Notes an observation of a peer. Returns when it was made, or `None` if it is known
     /// or too old. If the peer made it itself, it is passed on once in the next exchange.
     pub fn receive(&mut self, mut observation: Observation, now: Time) -> Option<Time> {
-        self.counts.received += 1;
         observation.failures = observation.failures.clamp(0.0, 1.0);
         let noted = Noted {
             observation,
@@ -130,11 +117,6 @@
         Some(noted.at)
     }
 
-    /// Counts an observation that was newer than what was known.
-    pub fn count_merged(&mut self) {
-        self.counts.merged += 1;
-    }
-
     /// Returns the observations since the last exchange, the most changed first, at most
     /// [`MAX_OBSERVATIONS`].
     pub fn take(&mut self, now: Time) -> Vec<Observation> {
@@ -151,7 +133,6 @@
             b.0.total_cmp(&a.0).then(by_leaf)
         });
         changed.truncate(MAX_OBSERVATIONS);
-        self.counts.sent += changed.len() as u64;
         let taken = changed.into_iter().map(|(_, noted)| {
             self.shared.insert(noted.observation.leaf, noted);
             Observation {
@@ -167,12 +148,6 @@
         self.fresh.retain(|leaf, _| keep(*leaf));
         self.shared.retain(|leaf, _| keep(*leaf));
     }
-
-    /// Returns the numbers of observations so far.
-    #[must_use]
-    pub fn counts(&self) -> ExchangeCounts {
-        self.counts
-    }
 }
 
 /// Returns the time that the calls at a leaf need, as a multiple of what its slots do in
--- a/crates/guavacourse/src/modules/placement/ranking.rs
+++ b/crates/guavacourse/src/modules/placement/ranking.rs
@@ -283,7 +283,7 @@
     }
 
     /// Returns the cost added for a leaf in another region, in microseconds.
-    fn distance(&self, view: &View, leaf: &LeafEntry) -> f64 {
+    pub(super) fn distance(&self, view: &View, leaf: &LeafEntry) -> f64 {
         if leaf.data_centre == self.data_centre {
             return 0.0;
         }
--- a/crates/guavacourse/src/modules/placement/sharing.rs
+++ b/crates/guavacourse/src/modules/placement/sharing.rs
@@ -1,20 +1,26 @@
 //! Shares what traffic threads observe of leaves with the peers of the data centre.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
-use super::load_board::{ExchangeCounts, Observation};
+use super::{
+    counts::{PlacementCause, PlacementCounts},
+    load_board::Observation,
+};
 use crate::modules::{catalog::LeafId, load_balancer::LoadBalancer, time::Time};
 
 impl LoadBalancer {
     /// Returns what was observed of leaves since the last exchange, the most changed first,
     /// including what peers observed themselves; empty unless calls are placed by load.
     pub fn take_observations(&mut self, now: Time) -> Vec<Observation> {
-        self.board.take(now)
+        let observations = self.board.take(now);
+        self.placed.sent.add(observations.len());
+        observations
     }
 
     /// Takes what peers of the data centre observed. A report counts if it is newer than
     /// the last one known, a failure fraction in proportion to the peers that report it.
     pub fn merge_observations(&mut self, observations: Vec<Observation>, now: Time) {
+        self.placed.received.add(observations.len());
         for observation in observations {
             if self.view.catalog.ids.contains_key(&observation.leaf)
                 && let Some(at) = self.board.receive(observation, now)
@@ -24,10 +30,30 @@
         }
     }
 
-    /// Returns the numbers of observations sent and received so far.
+    /// Returns the numbers of calls placed by load and of observations, which change with
+    /// the state of this thread.
     #[must_use]
-    pub fn exchange_counts(&self) -> ExchangeCounts {
-        self.board.counts()
+    pub fn placement_counts(&self) -> Arc<PlacementCounts> {
+        Arc::clone(&self.placed)
+    }
+
+    /// Counts a call if it is placed by load.
+    pub(in crate::modules) fn count_placed(&self, id: LeafId) {
+        let Some(leaf) = self.view.catalog.leaf(id) else {
+            return;
+        };
+        if !self.places_by_load(&self.view, &self.view.catalog.shards[leaf.shard]) {
+            return;
+        }
+        let by_peer = self.leaves.get(&id);
+        let cause = if by_peer.is_some_and(|stats| stats.load.reported_by_peer()) {
+            PlacementCause::PeerReport
+        } else if self.distance(&self.view, leaf) > 0.0 {
+            PlacementCause::Spread
+        } else {
+            PlacementCause::Near
+        };
+        self.placed.add_call(cause);
     }
 
     /// Notes what an ended call told of its leaf, if the leaf's calls are placed by load.
@@ -62,7 +88,7 @@
         stats.merge_failures(observation.failures, at);
         let newer = |report| stats.load.merge_report(report, at);
         if observation.report.is_some_and(newer) {
-            self.board.count_merged();
+            self.placed.merged.add(1);
         }
     }
 }
--- a/crates/guavacourse/src/modules/placement/spread.rs
+++ b/crates/guavacourse/src/modules/placement/spread.rs
@@ -2,7 +2,7 @@
 
 use std::cmp::Ordering;
 
-use crate::modules::replicas::Candidate;
+use crate::modules::{ownership::mix, replicas::Candidate};
 
 /// Leaves whose cost is up to this multiple of the least take part in the draw.
 const CLOSE_FACTOR: f64 = 2.0;
@@ -20,8 +20,8 @@
 }
 
 /// Orders leaves, best first, and moves one that is drawn to the front: among those that
-/// cost about the same, each is drawn in proportion to its free capacity. Avoided leaves
-/// come last and are drawn only among themselves.
+/// cost about the same, two are drawn in proportion to their free capacity, and the cheaper
+/// of them is taken. Avoided leaves come last and are drawn only among themselves.
 pub fn spread(leaves: &mut [Placed], draw: u64) {
     leaves.sort_by(|a, b| {
         let (a, b) = (&a.candidate, &b.candidate);
@@ -36,18 +36,14 @@
         .iter()
         .take_while(|leaf| {
             let other = &leaf.candidate;
-            other.avoided == best.avoided && other.cost <= best.cost * env("CF", CLOSE_FACTOR)
+            other.avoided == best.avoided && other.cost <= best.cost * CLOSE_FACTOR
         })
         .map(|leaf| {
-            leaf.free.powf(env("FP", 1.0))
-                * (best.cost.max(1.0) / leaf.candidate.cost.max(1.0))
-                    .powf(env("CP", COST_POWER.into()))
+            leaf.free * (best.cost.max(1.0) / leaf.candidate.cost.max(1.0)).powi(COST_POWER)
         })
         .collect();
-    let mut lead = drawn_index(&weights, draw);
-    if env("TWO", 0.0) > 0.0 {
-        lead = lead.min(drawn_index(&weights, crate::modules::ownership::mix(draw)));
-    }
+    let drawn = [draw, mix(draw)].map(|draw| drawn_index(&weights, draw));
+    let lead = drawn[0].min(drawn[1]);
     leaves[..=lead].rotate_right(1);
 }
 
@@ -65,10 +61,3 @@
     });
     found.unwrap_or_default()
 }
-
-fn env(n: &str, d: f64) -> f64 {
-    std::env::var(n)
-        .ok()
-        .and_then(|v| v.parse().ok())
-        .unwrap_or(d)
-}
