--- a/crates/guavacourse/src/modules/placement/ranking.rs
+++ b/crates/guavacourse/src/modules/placement/ranking.rs
@@ -205,12 +205,12 @@
         let unknown = shard.replicas.len() - stats.len();
         let speed = speed + as_float(unknown) * 1e6 / typical_work;
         let own_rate: f64 = stats.iter().map(|leaf| leaf.load.rate(now)).sum();
-        let share = view
+        let own_part = view
             .shares
             .for_service(&view.catalog.services[shard.service].name);
         Some(ShardLoad {
             typical_work,
-            utilisation: own_rate / share.max(f64::EPSILON) / (speed * f64::from(slots.max(1))),
+            utilisation: own_rate / own_part.max(f64::EPSILON) / (speed * f64::from(slots.max(1))),
         })
     }
 
