--- a/crates/guavacourse/tests/placement/even.rs
+++ b/crates/guavacourse/tests/placement/even.rs
@@ -61,7 +61,7 @@
 /// in 2 s.
 fn uneven_leaves() -> Plan {
     fn pace(leaf: u64, at: Duration) -> u32 {
-        let slow = leaf % 3 == 0 && (at.as_secs() / 4 + leaf) % 2 == 0;
+        let slow = leaf.is_multiple_of(3) && (at.as_secs() / 4 + leaf).is_multiple_of(2);
         if slow { 250 } else { changing_pace(leaf, at) }
     }
     let paces: [fn(Duration) -> u32; 13] = [
@@ -115,14 +115,14 @@
 
 /// Replays a plan with a few seeds, prints the means and returns them.
 fn means(name: &str, plan: &Plan) -> Means {
-    const SEEDS: u64 = 3;
+    const SEEDS: u32 = 3;
     let mut sums = Means::default();
     for seed in 1..=SEEDS {
         let figures: Figures = replay(&Plan {
-            seed,
+            seed: seed.into(),
             ..plan.clone()
         });
-        let share = 1.0 / SEEDS as f64;
+        let share = 1.0 / f64::from(SEEDS);
         sums.busiest += figures.busiest * share;
         sums.mean += figures.mean * share;
         sums.wait += figures.mean_wait() * share;
--- a/crates/guavacourse/tests/placement/replay.rs
+++ b/crates/guavacourse/tests/placement/replay.rs
@@ -420,7 +420,7 @@
     fn answer(&mut self, index: usize) {
         let elapsed = self.elapsed();
         let call = &mut self.calls[index];
-        call.sample.latency = elapsed - call.sample.sent;
+        call.sample.latency = elapsed.saturating_sub(call.sample.sent);
         let outcome = if call.lost {
             Outcome::Unknown(Unknown::Closed)
         } else {
