--- a/crates/guavacourse/src/edge/entry/callers.rs
+++ b/crates/guavacourse/src/edge/entry/callers.rs
@@ -90,7 +90,7 @@
         let (status, error) = match refusal {
             Refusal::UnknownKind(_) => (404, "unknown-kind"),
             Refusal::NotReady => (503, "not-ready"),
-            Refusal::Overloaded(_) => (503, "overloaded"),
+            Refusal::Overloaded(_) | Refusal::Contended { .. } => (503, "overloaded"),
             Refusal::Quarantined => (503, "not-run"),
             _ => (400, "bad-request"),
         };
--- a/crates/guavacourse/src/edge/gateway/requests.rs
+++ b/crates/guavacourse/src/edge/gateway/requests.rs
@@ -223,6 +223,10 @@
         Refusal::Quarantined => {
             CallerAnswer::not_run_until(QUARANTINE_DURATION, refusal.to_string())
         }
+        Refusal::Contended { retry_after, .. } => CallerAnswer::NotRun {
+            retry_after: *retry_after,
+            reason: refusal.to_string(),
+        },
         _ => CallerAnswer::not_run(refusal.to_string()),
     }
 }
--- a/crates/guavacourse/src/edge/wire.rs
+++ b/crates/guavacourse/src/edge/wire.rs
@@ -59,6 +59,7 @@
         revision: 0,
         age: Duration::ZERO,
         spare: 0,
+        late: false,
         fingerprint: part.get_fingerprint(),
         body: Arc::from(part.get_body()?),
         calls: calls.collect(),
--- a/crates/guavacourse/src/modules/action.rs
+++ b/crates/guavacourse/src/modules/action.rs
@@ -284,6 +284,7 @@
             revision: 0,
             age: Duration::ZERO,
             spare: 0,
+            late: false,
             kind: self.request.kind.clone(),
             worth: self.worth,
             budget,
--- a/crates/guavacourse/src/modules/admission/job.rs
+++ b/crates/guavacourse/src/modules/admission/job.rs
@@ -78,6 +78,8 @@
 /// Position in the queue of a leaf; the lowest runs first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(super) struct Rank {
+    /// Calls whose answer will be late come after all others.
+    late: bool,
     /// Hedges and retries come last.
     extra: bool,
     /// Worth per second of slot time.
@@ -92,6 +94,7 @@
         const MICROS_PER_SECOND: u64 = 1_000_000;
         let worth = u64::from(job.part.worth) * MICROS_PER_SECOND;
         Self {
+            late: job.part.late,
             extra: job.call.extra,
             density: Reverse(worth / micros(service).max(1)),
             deadline: job.deadline,
@@ -102,6 +105,7 @@
     /// Ranks by order of arrival only.
     pub(super) fn by_arrival(arrival: u64) -> Self {
         Self {
+            late: false,
             extra: false,
             density: Reverse(0),
             deadline: Time(0),
--- a/crates/guavacourse/src/modules/answer.rs
+++ b/crates/guavacourse/src/modules/answer.rs
@@ -139,6 +139,16 @@
     /// The limit of concurrent queries of the kind is reached.
     #[error("not run: there is no room for more queries of kind `{0}`; repeat later, and slower")]
     Overloaded(String),
+    /// Other queries compete for too many of the shards of the kind.
+    #[error(
+        "not run: there is no room for more queries of kind `{kind}`; repeat in {retry_after:?}"
+    )]
+    Contended {
+        /// Name of the kind.
+        kind: String,
+        /// Time after which room is expected.
+        retry_after: Duration,
+    },
     /// Too few shards have a backend server in the regions that the request allows.
     #[error(
         "not run: too few backend servers of kind `{0}` are in the regions where it may be \
@@ -192,6 +202,10 @@
     pub canary: bool,
     /// Whether the query ended at its settle age, with shards still open.
     pub settled: bool,
+    /// Shards left out because other calls wait for them.
+    pub left_out: u32,
+    /// Shards called only once no other call waited for them.
+    pub held: u32,
     /// All attempts except first calls whose rows were merged.
     pub attempts: Vec<AttemptTrace>,
 }
--- a/crates/guavacourse/src/modules/call.rs
+++ b/crates/guavacourse/src/modules/call.rs
@@ -40,6 +40,9 @@
     pub age: Duration,
     /// Number of shards of the request that may be missing from its answer.
     pub spare: u32,
+    /// Whether its answer will be late, so that its calls yield to others. It is not sent
+    /// to relays of other processes.
+    pub late: bool,
     /// Idempotency id of an action; empty for a query.
     pub action: String,
     /// Hash of kind and body, equal for a repeated request.
--- a/crates/guavacourse/src/modules/load_balancer.rs
+++ b/crates/guavacourse/src/modules/load_balancer.rs
@@ -10,6 +10,7 @@
     catalog::{KindEntry, LeafEntry, LeafId, LeafKey, ShardKey},
     cleared::ClearedContents,
     collections::Map,
+    contention::{late::LateQueries, returns::Returns},
     customers::AllowedRegions,
     delegation::Delegation,
     extra::{ExtraBudgets, ExtraLimits, ExtraReason},
@@ -19,6 +20,7 @@
     lateness::Lateness,
     members::Member,
     ownership::mix,
+    placement::outlook::ShardOutlook,
     query::plan::{Attempt, Slot},
     replicas::{Candidate, LeafStats, as_micros, rank},
     round_robin::WeightedRoundRobin,
@@ -84,6 +86,8 @@
     pub(crate) retries: Budget,
     pub(crate) pressure: Pressure,
     pub(crate) throttle: Throttle,
+    pub(crate) late: LateQueries,
+    pub(crate) returns: Returns,
     services: WeightedRoundRobin,
 }
 
@@ -95,6 +99,8 @@
             retries: Budget::default(),
             pressure: Pressure::default(),
             throttle: Throttle::default(),
+            late: LateQueries::default(),
+            returns: Returns::default(),
             services: WeightedRoundRobin::default(),
         }
     }
@@ -443,6 +449,49 @@
         opens.min().filter(|opens| *opens > now)
     }
 
+    /// Returns the outlook of a call to the best leaf of a shard that may be called.
+    /// Returns `None` if one of its leaves is unknown, and unless the leaves report their
+    /// pace or the configuration has customers.
+    #[must_use]
+    pub fn shard_outlook(
+        &self,
+        view: &View,
+        shard: ShardKey,
+        regions: &AllowedRegions,
+        now: Time,
+    ) -> Option<ShardOutlook> {
+        let shard = view.catalog.shards.get(shard)?;
+        let slots = view.catalog.services[shard.service].slots;
+        let mut enabled = view.catalog.customers.is_some();
+        let mut best: Option<(bool, ShardOutlook)> = None;
+        for key in &shard.replicas {
+            let leaf = &view.catalog.leaves[*key];
+            let callable = leaf.state == LeafState::Serving
+                && !view.leaving.contains(&leaf.id)
+                && regions.allows(view.catalog.region(&leaf.data_centre));
+            if !callable {
+                continue;
+            }
+            let stats = self.leaves.get(&leaf.id)?;
+            enabled |= stats.reports_pace();
+            if self.opens_at(leaf.id, now).is_some() {
+                continue;
+            }
+            if stats.unknown() {
+                return None;
+            }
+            let outlook = ShardOutlook::of_leaf(stats, slots, now);
+            let avoided = stats.avoided(now) || stats.stalled(now);
+            let better = |(other, best): (bool, ShardOutlook)| {
+                (avoided, outlook.expected) < (other, best.expected)
+            };
+            if best.is_none_or(better) {
+                best = Some((avoided, outlook));
+            }
+        }
+        best.filter(|_| enabled).map(|(_, outlook)| outlook)
+    }
+
     /// Returns whether a leaf is avoided after failures.
     pub(crate) fn avoided(&self, leaf: LeafId, now: Time) -> bool {
         self.leaves.get(&leaf).is_some_and(|leaf| leaf.avoided(now))
--- a/crates/guavacourse/src/modules/mod.rs
+++ b/crates/guavacourse/src/modules/mod.rs
@@ -17,6 +17,7 @@
 pub mod collections;
 pub mod commit;
 pub mod concurrency;
+pub mod contention;
 pub mod coverage;
 pub mod crash_evidence;
 pub mod customers;
--- a/crates/guavacourse/src/modules/placement.rs
+++ b/crates/guavacourse/src/modules/placement.rs
@@ -2,3 +2,4 @@
 
 pub mod load_board;
 pub mod load_report;
+pub mod outlook;
--- /dev/null
+++ b/crates/guavacourse/src/modules/placement/outlook.rs
@@ -0,0 +1,79 @@
+//! How long a call to a leaf or a shard is expected to take, and why.
+
+use std::time::Duration;
+
+use super::load_report::USUAL_PACE;
+use crate::modules::{
+    replicas::{LeafStats, as_micros},
+    time::Time,
+};
+
+/// Age from which the load that a leaf reported is ignored. A queue that took longer
+/// to form is visible in newer answers.
+const MAX_REPORT_AGE: Duration = Duration::from_secs(1);
+
+/// Fraction of the elapsed time by which a queue is assumed to have shrunk since it was
+/// observed: calls of other processes have taken part of the room.
+const DRAIN_FRACTION: f64 = 0.5;
+
+/// Expected course of one more call to a leaf, or to the best leaf of a shard.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ShardOutlook {
+    /// Expected time of the call.
+    pub expected: Duration,
+    /// Part of it that is spent waiting for other calls.
+    pub waiting: Duration,
+    /// Whether any call waits there.
+    pub contended: bool,
+}
+
+impl ShardOutlook {
+    /// Returns the outlook of a leaf with `slots` slots.
+    #[must_use]
+    pub fn of_leaf(stats: &LeafStats, slots: u32, now: Time) -> Self {
+        let report = stats.reported_load(now);
+        let report = report.filter(|(_, age)| *age < MAX_REPORT_AGE);
+        let pace = report.and_then(|(load, _)| load.pace).unwrap_or(USUAL_PACE);
+        let pace = f64::from(pace) / f64::from(USUAL_PACE);
+        let run = stats.least_latency() * pace.max(1.0);
+        let reported_slots = report.map(|(load, _)| load.slots).filter(|n| *n > 0);
+        let slots = f64::from(reported_slots.unwrap_or(slots).max(1));
+        let pending = f64::from(stats.pending);
+        let Some((load, age)) = report else {
+            return Self::new(run, run * rounds(pending, slots), pending > slots);
+        };
+        let drained = as_micros(age) * DRAIN_FRACTION;
+        let reported = f64::from(load.running) + f64::from(load.waiting);
+        let left = reported - drained * slots / run.max(1.0);
+        let ahead = left.max(pending);
+        let contended = ahead > slots || (load.waiting > 0 && left >= slots);
+        // The model lacks the work of other kinds; while calls wait, the latency observed
+        // last shows how long they do.
+        let observed = if contended && load.waiting > 0 {
+            stats.recent_latency() - run - drained
+        } else {
+            0.0
+        };
+        let waiting = (run * rounds(ahead, slots)).max(observed);
+        Self::new(run, waiting, contended)
+    }
+
+    fn new(run: f64, waiting: f64, contended: bool) -> Self {
+        let micros = |value: f64| Duration::from_secs_f64(value.max(0.0) / 1e6);
+        Self {
+            expected: micros(run) + micros(waiting),
+            waiting: micros(waiting),
+            contended,
+        }
+    }
+}
+
+/// Returns how many calls in a row must end before one more gets a slot, if `ahead`
+/// calls are running or waiting.
+fn rounds(ahead: f64, slots: f64) -> f64 {
+    if ahead < slots {
+        0.0
+    } else {
+        (ahead - slots + 1.0) / slots
+    }
+}
--- a/crates/guavacourse/src/modules/query.rs
+++ b/crates/guavacourse/src/modules/query.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod calls;
 mod canary;
+mod contention;
 mod event;
 mod parts;
 pub(super) mod plan;
@@ -164,6 +165,10 @@
     revision: u64,
     trace: Trace,
     open_slots: usize,
+    /// Whether shards are left out or called late if other queries compete for them.
+    yields: bool,
+    /// Whether it counts as a late query of its kind.
+    late: bool,
     stalled: bool,
     next_timer: Time,
     finished: bool,
@@ -237,6 +242,8 @@
             suspecting_relays: Vec::new(),
             exposure: Exposure::Unsent,
             trace,
+            yields: false,
+            late: false,
             stalled: false,
             next_timer: now,
             finished: false,
@@ -245,6 +252,9 @@
         for slot in unreachable {
             query.close(slot);
         }
+        if let Some(refusal) = query.refuse_contended(&mut ctx) {
+            return Err(refusal);
+        }
         query.plan_canary(canary, &ctx);
         query.call_all(Cause::First, &mut ctx);
         query.trace.pinned = query.pin.version;
@@ -366,6 +376,7 @@
         self.cancel(None, None, &mut ctx);
         self.trace.elapsed_us = micros(ctx.now.since(self.started));
         self.update_throttle(enough, &mut ctx);
+        self.end_late(enough, &mut ctx);
         let reason = if late {
             Reason::Deadline
         } else {
--- a/crates/guavacourse/src/modules/query/calls.rs
+++ b/crates/guavacourse/src/modules/query/calls.rs
@@ -100,7 +100,9 @@
         if !slot.is_open() {
             return;
         }
-        if slot.pending == 0 && slot.retry_at <= ctx.now {
+        if slot.held && slot.retry_at <= ctx.now {
+            self.call_held(index, ctx);
+        } else if slot.pending == 0 && slot.retry_at <= ctx.now {
             self.retry(index, slot.charged, ctx);
         } else if slot.pending > 0 && slot.hedge_at <= ctx.now {
             self.slots[index].hedge_at = self.canary_late_at().unwrap_or(Time::MAX);
@@ -199,10 +201,20 @@
             }
         }
         if self.canary != Canary::Inactive {
+            self.leave_out(&[], ctx);
             return self.send_canary(ctx);
         }
         let peers = self.peers_for(&chosen, ctx);
+        let peer_of = |choice: &Option<Choice>| {
+            let centre = choice.and_then(|choice| self.data_centre(choice));
+            centre.and_then(|centre| peers.get(centre).copied())
+        };
+        let delegated: Vec<bool> = chosen.iter().map(|c| peer_of(c).is_some()).collect();
+        self.leave_out(&delegated, ctx);
         for (index, choice) in chosen.into_iter().enumerate() {
+            if self.slots[index].left_out || self.slots[index].held {
+                continue;
+            }
             let centre = choice.and_then(|choice| self.data_centre(choice));
             let peer = centre.and_then(|centre| peers.get(centre).copied());
             if let (Some(choice), Some(peer)) = (choice, peer) {
@@ -300,6 +312,7 @@
         self.suspicion.on_call_sent(id);
         let slot = &mut self.slots[index];
         slot.record_call(choice.id);
+        slot.held = false;
         slot.hedge_at = Time::MAX;
         let adaptive = self.params.policy == Policy::Adaptive;
         if adaptive && self.params.repeatable && slot.pending <= MAX_CONCURRENT_HEDGES {
@@ -348,7 +361,8 @@
             epoch: self.pin.epoch,
             revision: self.revision,
             age: self.request.age + now.since(self.started),
-            spare: self.spare_shards(),
+            spare: self.spare_left(),
+            late: self.is_late(now),
             action: String::new(),
             fingerprint: self.trace.fingerprint,
             body: Arc::clone(&self.request.body),
--- /dev/null
+++ b/crates/guavacourse/src/modules/query/contention.rs
@@ -0,0 +1,184 @@
+//! Leaves out shards that others compete for, and holds back calls of late queries.
+
+use std::time::Duration;
+
+use super::{Query, canary::Canary, event::EventContext};
+use crate::modules::{
+    answer::Refusal,
+    catalog::stable_hash,
+    contention::{
+        scarcity::{self, Need, Verdict, is_scarce},
+        spare::own_spare,
+    },
+    inventory::Policy,
+    placement::outlook::ShardOutlook,
+    time::Time,
+};
+
+/// Delay after which it is checked again whether other calls wait for a held shard.
+const HELD_CHECK_INTERVAL: Duration = Duration::from_millis(15);
+
+/// Time by which a held call must be answered before the deadline, since its expected
+/// time is only an estimate.
+const HELD_MARGIN: Duration = Duration::from_millis(50);
+
+impl Query {
+    /// Returns why the query does not begin, if it would only be lost. A part that runs
+    /// for a peer always begins, because the other parts already run.
+    pub(super) fn refuse_contended(&mut self, ctx: &mut EventContext<'_>) -> Option<Refusal> {
+        if self.params.policy != Policy::Adaptive || self.slots.len() < 2 {
+            return None;
+        }
+        let target = self.params.target?;
+        let outlooks = self.outlooks(ctx);
+        self.yields = outlooks.iter().any(Option::is_some);
+        if !self.yields {
+            return None;
+        }
+        let verdict = scarcity::plan(&outlooks, self.need(target), self.draw()).verdict;
+        let (deadline, whole) = (self.params.deadline, self.request.only_services.is_empty());
+        let kind = ctx.balancer.kind(&self.request.kind);
+        kind.late.count_query();
+        self.late = verdict == Verdict::Late && kind.late.start(deadline, ctx.now);
+        if verdict == Verdict::InTime || self.late || !whole {
+            return None;
+        }
+        kind.throttle.ended();
+        Some(Refusal::Contended {
+            kind: self.request.kind.clone(),
+            retry_after: kind.returns.retry_after(deadline.left(ctx.now), ctx.now),
+        })
+    }
+
+    /// Leaves out the scarcest shards of those that this process calls itself, and holds
+    /// back the calls to other scarce ones if the query is late. Peers that run the
+    /// `delegated` shards are told how many shards may be missing after that.
+    pub(super) fn leave_out(&mut self, delegated: &[bool], ctx: &mut EventContext<'_>) {
+        let Some(target) = self.params.target.filter(|_| self.yields) else {
+            return;
+        };
+        let mut outlooks = self.outlooks(ctx);
+        for (outlook, delegated) in outlooks.iter_mut().zip(delegated) {
+            *outlook = outlook.filter(|_| !delegated);
+        }
+        let plan = scarcity::plan(&outlooks, self.need(target), self.draw());
+        for index in plan.left_out {
+            self.leave_out_shard(index);
+        }
+        for index in plan.held {
+            let slot = &mut self.slots[index];
+            slot.held = true;
+            slot.retry_at = ctx.now.after(HELD_CHECK_INTERVAL);
+            self.trace.held += 1;
+        }
+    }
+
+    /// Closes the slot of a shard that others compete for.
+    pub(super) fn leave_out_shard(&mut self, index: usize) {
+        self.slots[index].left_out = true;
+        self.trace.left_out += 1;
+        self.close(index);
+    }
+
+    /// Calls a held shard if no other call waits there, or if its time runs out and the
+    /// kind may let another late call join the queue.
+    pub(super) fn call_held(&mut self, index: usize, ctx: &mut EventContext<'_>) {
+        let outlook = self.outlook(index, ctx);
+        let contended = outlook.is_some_and(|outlook| outlook.contended);
+        let expected = outlook.map_or(Duration::ZERO, |outlook| outlook.expected);
+        let last = ctx.now.after(expected + HELD_MARGIN) >= self.params.deadline;
+        let free = self.canary == Canary::Inactive && !contended;
+        if free || (last && ctx.balancer.kind(&self.request.kind).late.join()) {
+            self.slots[index].held = false;
+            return self.call_first(index, ctx);
+        }
+        if last {
+            self.slots[index].held = false;
+            return self.close(index);
+        }
+        self.slots[index].retry_at = ctx.now.after(HELD_CHECK_INTERVAL);
+        self.next_timer = self.next_timer.min(self.slots[index].retry_at);
+    }
+
+    /// Returns whether a shard that refused a call for lack of room is left out: a spare
+    /// shard is left, and the best leaf has no room in time because of other calls.
+    pub(super) fn competes(&self, index: usize, ctx: &EventContext<'_>) -> bool {
+        let Some(target) = self.params.target.filter(|_| self.yields) else {
+            return false;
+        };
+        let slot = &self.slots[index];
+        if slot.pending > 0 || self.own_spare() == 0 {
+            return false;
+        }
+        let left = target.left(ctx.now);
+        let scarce = self.outlook(index, ctx).is_some_and(|o| is_scarce(o, left));
+        scarce || self.choose(index, ctx).is_none()
+    }
+
+    /// Reports to the kind how a late query ended.
+    pub(super) fn end_late(&mut self, enough: bool, ctx: &mut EventContext<'_>) {
+        let kind = ctx.balancer.kind(&self.request.kind);
+        if enough && self.yields {
+            kind.returns.served(ctx.now);
+        }
+        if std::mem::take(&mut self.late) {
+            kind.late.ended(self.params.deadline, enough);
+        }
+    }
+
+    /// Returns whether the calls of the query yield to those of queries in time.
+    pub(super) fn is_late(&self, now: Time) -> bool {
+        let missed = self.params.target.is_some_and(|target| now >= target);
+        self.yields && (self.late || missed)
+    }
+
+    fn need(&self, target: Time) -> Need {
+        Need {
+            to_target: target.left(self.started),
+            to_deadline: self.params.deadline.left(self.started),
+            spare: self.spare_of_open(),
+            own_spare: self.own_spare(),
+        }
+    }
+
+    fn outlooks(&self, ctx: &EventContext<'_>) -> Vec<Option<ShardOutlook>> {
+        let open = |index: usize| {
+            self.outlook(index, ctx)
+                .filter(|_| self.slots[index].is_open())
+        };
+        (0..self.slots.len()).map(open).collect()
+    }
+
+    fn outlook(&self, index: usize, ctx: &EventContext<'_>) -> Option<ShardOutlook> {
+        let shard = self.slots[index].shard;
+        ctx.balancer
+            .shard_outlook(&self.view, shard, &self.params.regions, ctx.now)
+    }
+
+    /// Returns how many open shards may be missing from the answer.
+    fn spare_of_open(&self) -> usize {
+        let closed = self.slots.iter().filter(|slot| slot.closed).count();
+        let planned = self.planned_shards() - self.slots.len();
+        let spare = usize::try_from(self.spare_shards()).unwrap_or(usize::MAX);
+        spare.saturating_sub(closed + planned)
+    }
+
+    /// Returns how many open shards this process may leave out.
+    fn own_spare(&self) -> usize {
+        let spare = self.spare_of_open();
+        let only = self.request.only_services.as_slice();
+        if only.is_empty() {
+            return spare;
+        }
+        let kind = self.view.catalog.kinds.get(&self.request.kind);
+        let services = kind.map_or(0, |kind| kind.rules.services.len());
+        let own = |position: usize| only.iter().any(|s| usize::from(*s) == position);
+        own_spare(spare, services, self.draw(), own)
+    }
+
+    /// Returns a number that is the same in all processes that run parts of the query.
+    fn draw(&self) -> u64 {
+        let id = self.request.forward.as_ref().map(|forward| &forward.id);
+        id.map_or(self.trace.fingerprint, |id| stable_hash(id.as_bytes()))
+    }
+}
--- a/crates/guavacourse/src/modules/query/parts.rs
+++ b/crates/guavacourse/src/modules/query/parts.rs
@@ -67,6 +67,13 @@
         (self.planned_shards() as f64 * (1.0 - self.params.min_coverage) + ROUNDING_MARGIN) as u32
     }
 
+    /// Returns the number of spare shards that this process has not left out.
+    pub(super) fn spare_left(&self) -> u32 {
+        let left_out = self.slots.iter().filter(|slot| slot.left_out).count();
+        let left_out = u32::try_from(left_out).unwrap_or(u32::MAX);
+        self.spare_shards().saturating_sub(left_out)
+    }
+
     /// Returns the data centre of a chosen leaf.
     pub(super) fn data_centre(&self, choice: Choice) -> Option<&str> {
         let leaf = self.view.catalog.leaves.get(choice.leaf)?;
--- a/crates/guavacourse/src/modules/query/plan.rs
+++ b/crates/guavacourse/src/modules/query/plan.rs
@@ -42,6 +42,10 @@
     pub(crate) pending: u8,
     /// Whether no further call is made.
     pub(crate) closed: bool,
+    /// Whether it is closed without a call because others compete for the shard.
+    pub(crate) left_out: bool,
+    /// Whether its first call is held until no other call waits for the shard.
+    pub(crate) held: bool,
     /// When a hedge is due.
     pub(crate) hedge_at: Time,
     /// When another call is due, while none is in flight.
@@ -174,6 +178,8 @@
             body: None,
             pending: 0,
             closed: false,
+            left_out: false,
+            held: false,
             hedge_at: Time::MAX,
             retry_at: Time::MAX,
             charged: false,
--- a/crates/guavacourse/src/modules/query/replies.rs
+++ b/crates/guavacourse/src/modules/query/replies.rs
@@ -147,6 +147,9 @@
             NotRun::Shed | NotRun::QueueFull if attempt.cause == Cause::Hedge => {
                 self.replace_hedge(attempt.slot, ctx);
             }
+            NotRun::Shed | NotRun::QueueFull if self.competes(attempt.slot, ctx) => {
+                self.leave_out_shard(attempt.slot);
+            }
             NotRun::Shed | NotRun::QueueFull | NotRun::Expired => {
                 self.retry(attempt.slot, true, ctx);
             }
--- a/crates/guavacourse/src/modules/replicas.rs
+++ b/crates/guavacourse/src/modules/replicas.rs
@@ -12,6 +12,8 @@
 
 /// Weight of one sample in the smoothed latency, an exponential moving average.
 const SAMPLE_WEIGHT: f64 = 0.1;
+/// Weight of one sample in the recent latency, which shows a queue within two calls.
+const RECENT_WEIGHT: f64 = 0.5;
 /// Largest sample, as a multiple of the current estimate: a single straggler
 /// changes the estimate little, a slow leaf still does within a few calls.
 const MAX_SAMPLE_FACTOR: f64 = 4.0;
@@ -57,6 +59,8 @@
     pub closed_until: Time,
     smoothed: f64,
     min_latency: f64,
+    /// Latency that follows changes within a few calls.
+    recent: f64,
     overhead: f64,
     queued: u32,
     updated: Time,
@@ -79,7 +83,9 @@
         if self.smoothed == 0.0 {
             self.smoothed = sample;
             self.min_latency = sample;
+            self.recent = sample;
         }
+        self.recent += (sample - self.recent) * RECENT_WEIGHT;
         self.min_latency = self.min_latency.min(sample);
         let current = self.estimate(now).max(1.0);
         let clipped = sample.min(current * MAX_SAMPLE_FACTOR);
@@ -116,6 +122,12 @@
         self.load.map(|(load, at)| (load, now.since(at)))
     }
 
+    /// Returns whether the leaf reported the pace of its machine.
+    #[must_use]
+    pub fn reports_pace(&self) -> bool {
+        self.load.is_some_and(|(load, _)| load.pace.is_some())
+    }
+
     /// Records that the leaf takes no call before `until`.
     pub fn close(&mut self, until: Time) {
         self.closed_until = until;
@@ -197,6 +209,18 @@
         self.min_latency + (self.smoothed - self.min_latency) * (-age).exp2()
     }
 
+    /// Returns the least latency of any call, in microseconds.
+    #[must_use]
+    pub fn least_latency(&self) -> f64 {
+        self.min_latency
+    }
+
+    /// Returns the latency of the latest calls, in microseconds.
+    #[must_use]
+    pub fn recent_latency(&self) -> f64 {
+        self.recent
+    }
+
     /// Returns the cost of one more call, in microseconds, from measurements of
     /// this process alone.
     #[must_use]
