feat(contention): leave out scarce shards and hold back late queries

Queries over many shards leave out those for which other calls wait, each process limits its calls to them by the rate of their answers, and queries that cannot meet their target yield or are refused as not run.

--- a/crates/guavacourse/src/modules/contention.rs
+++ b/crates/guavacourse/src/modules/contention.rs
@@ -5,6 +5,7 @@
 
 pub mod fair;
 pub mod late;
+pub mod rates;
 pub mod returns;
 pub mod scarcity;
 pub mod spare;
--- a/crates/guavacourse/src/modules/contention/late.rs
+++ b/crates/guavacourse/src/modules/contention/late.rs
@@ -5,7 +5,7 @@
 //! The limit falls while such queries are lost and rises while they are served, so that
 //! the rest is told at once that it has not run.
 
-use crate::modules::{budget::Budget, time::Time};
+use crate::modules::time::Time;
 
 /// Limit at the start: a short contention is bridged without a refusal.
 const INITIAL_LIMIT: f64 = 4.0;
@@ -18,6 +18,9 @@
 /// Held calls that may join a queue when their time runs out, as a fraction of all
 /// queries: in-time queries lose at most that part of a scarce shard.
 const JOIN_FRACTION: f64 = 0.1;
+/// Calls that may join at the same moment. More of them would make the queue too long for
+/// queries in time.
+const MAX_JOINS: f64 = 2.0;
 
 /// Late queries of one kind.
 #[derive(Clone, Debug)]
@@ -26,7 +29,7 @@
     /// deadline.
     running: Vec<Time>,
     limit: f64,
-    joins: Budget,
+    joins: f64,
 }
 
 impl Default for LateQueries {
@@ -34,7 +37,7 @@
         Self {
             running: Vec::new(),
             limit: INITIAL_LIMIT,
-            joins: Budget::default(),
+            joins: 1.0,
         }
     }
 }
@@ -42,7 +45,7 @@
 impl LateQueries {
     /// Counts a query of the kind, late or not.
     pub fn count_query(&mut self) {
-        self.joins.earn(1, JOIN_FRACTION);
+        self.joins = (self.joins + JOIN_FRACTION).min(MAX_JOINS);
     }
 
     /// Admits a late query with a deadline unless the limit is reached; returns whether it
@@ -60,7 +63,11 @@
     /// Returns whether a held call may join the queue of its shard now because its time
     /// runs out.
     pub fn join(&mut self) -> bool {
-        self.joins.spend()
+        let allowed = self.joins >= 1.0;
+        if allowed {
+            self.joins -= 1.0;
+        }
+        allowed
     }
 
     /// Records whether an admitted query was served.
--- a/crates/guavacourse/src/modules/contention/scarcity.rs
+++ b/crates/guavacourse/src/modules/contention/scarcity.rs
@@ -1,7 +1,8 @@
 //! Decides which shards a query leaves out or calls late, and whether it begins.
 
-use std::time::Duration;
+use std::{cmp::Reverse, time::Duration};
 
+use super::rates::Room;
 use crate::modules::placement::outlook::ShardOutlook;
 
 /// What a query needs of its shards.
@@ -40,31 +41,43 @@
     pub held: Vec<usize>,
 }
 
-/// Returns whether a shard is scarce: other calls wait there, and one more would not be
-/// answered within the time left.
-#[must_use]
-pub fn is_scarce(outlook: ShardOutlook, left: Duration) -> bool {
-    outlook.contended && !outlook.waiting.is_zero() && outlook.expected > left
+/// What is known of a shard.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ShardState {
+    /// Expected course of a call.
+    pub outlook: ShardOutlook,
+    /// Room for the call.
+    pub room: Room,
+}
+
+impl ShardState {
+    /// Returns whether the shard is scarce: one more call would wait, or would not be
+    /// answered within the time left because others wait.
+    #[must_use]
+    pub fn is_scarce(self, left: Duration) -> bool {
+        let late = self.outlook.contended && self.outlook.expected > left;
+        self.room == Room::None || late
+    }
 }
 
-/// Plans a query over shards of the given outlooks; `None` stands for a shard that is
-/// not known to be contended. The scarcest shards are left out, those of equal outlook
-/// in an order that depends on `draw`.
+/// Plans a query over shards of the given states; `None` stands for a shard that is not
+/// known to be contended. Scarce shards are left out first, then those that others may
+/// need more; the slowest first, and those of equal outlook in an order that depends on
+/// `draw`.
 #[must_use]
-pub fn plan(outlooks: &[Option<ShardOutlook>], need: Need, draw: u64) -> Plan {
-    let expected = |index: &usize| outlooks[*index].map(|outlook| outlook.expected);
-    let scarce_within = |left| {
-        let scarce = move |outlook: &Option<ShardOutlook>| {
-            outlook.is_some_and(|outlook| is_scarce(outlook, left))
-        };
-        outlooks.iter().enumerate().filter(move |(_, o)| scarce(o))
+pub fn plan(shards: &[Option<ShardState>], need: Need, draw: u64) -> Plan {
+    let known = || {
+        let known = shards.iter().enumerate();
+        known.filter_map(|(index, state)| Some((index, (*state)?)))
     };
-    let mut scarce: Vec<usize> = scarce_within(need.to_target).map(|(i, _)| i).collect();
-    let rotation = usize::try_from(draw).unwrap_or_default() % scarce.len().max(1);
-    scarce.rotate_left(rotation);
-    scarce.sort_by_key(|index| std::cmp::Reverse(expected(index)));
-    let unservable = scarce_within(need.to_deadline).count();
-    let verdict = if unservable > need.spare {
+    let scarce = known().filter(|(_, state)| state.is_scarce(need.to_target));
+    let scarce = ordered(scarce.collect(), draw);
+    let tight =
+        known().filter(|(_, state)| state.room == Room::Tight && !state.is_scarce(need.to_target));
+    let tight = ordered(tight.collect(), draw);
+    let unservable = known()
+        .filter(|(_, state)| state.outlook.contended && state.outlook.expected > need.to_deadline);
+    let verdict = if unservable.count() > need.spare {
         Verdict::Unservable
     } else if scarce.len() > need.spare {
         Verdict::Late
@@ -72,19 +85,26 @@
         Verdict::InTime
     };
     let most = max_left_out(need.spare, verdict).min(need.own_spare);
-    let leaves_out = scarce.len().min(most);
-    let rest = scarce.split_off(leaves_out);
+    let held = match verdict {
+        Verdict::InTime => Vec::new(),
+        Verdict::Late | Verdict::Unservable => scarce.iter().skip(most).copied().collect(),
+    };
+    let left_out = scarce.into_iter().chain(tight).take(most).collect();
     Plan {
         verdict,
-        left_out: scarce,
-        held: if verdict == Verdict::InTime {
-            Vec::new()
-        } else {
-            rest
-        },
+        left_out,
+        held,
     }
 }
 
+/// Returns the indexes of shards, the slowest first.
+fn ordered(mut shards: Vec<(usize, ShardState)>, draw: u64) -> Vec<usize> {
+    let rotation = usize::try_from(draw).unwrap_or_default() % shards.len().max(1);
+    shards.rotate_left(rotation);
+    shards.sort_by_key(|(_, state)| Reverse((state.room == Room::None, state.outlook.expected)));
+    shards.into_iter().map(|(index, _)| index).collect()
+}
+
 /// Returns how many shards a query may leave out at its start. One spare shard is kept
 /// in reserve where there are several, so that the loss of another call does not make
 /// the query late. A query that is late anyway needs no reserve.
--- a/crates/guavacourse/src/modules/load_balancer.rs
+++ b/crates/guavacourse/src/modules/load_balancer.rs
@@ -10,7 +10,7 @@
     catalog::{KindEntry, LeafEntry, LeafId, LeafKey, ShardKey},
     cleared::ClearedContents,
     collections::Map,
-    contention::{late::LateQueries, returns::Returns},
+    contention::{late::LateQueries, rates::ShardRates, returns::Returns},
     customers::AllowedRegions,
     delegation::Delegation,
     extra::{ExtraBudgets, ExtraLimits, ExtraReason},
@@ -70,6 +70,8 @@
     kinds: Vec<KindStats>,
     routing: Routing,
     dropped_replies: u64,
+    /// Rates of calls to contended shards.
+    pub(crate) rates: ShardRates,
     /// Request contents that leaves have recently run without crashing.
     pub(crate) cleared: ClearedContents,
     /// Fleet-wide budget of extra calls, if there is one.
@@ -123,6 +125,7 @@
             kinds: Vec::new(),
             routing: Routing::default(),
             dropped_replies: 0,
+            rates: ShardRates::default(),
             cleared: ClearedContents::default(),
             extra: None,
             peers: None,
@@ -275,6 +278,9 @@
             let ids = &view.catalog.ids;
             self.leaves.retain(|id, _| ids.contains_key(id));
             let previous = std::mem::replace(&mut self.view, Arc::clone(view));
+            if !Arc::ptr_eq(&previous.catalog, &view.catalog) {
+                self.rates.clear();
+            }
             let shared_anew = previous.shares != view.shares;
             for (id, stats) in &mut self.leaves {
                 let restarted = previous.incarnations.get(id) != view.incarnations.get(id);
@@ -371,6 +377,24 @@
             self.lateness.record_cancelled(ratio);
         }
         stats.record_cancelled(elapsed, now);
+        let overdue = elapsed.saturating_sub(micros_to_duration(stats.least_latency()));
+        if !stats.reported_recently(now) {
+            self.observe_overdue(leaf, overdue, now);
+        }
+    }
+
+    /// Updates the rate of calls to the shard of a leaf that did not answer in time and
+    /// whose load is not known. Without this, a process that runs only queries with a
+    /// short target gets no answer and never learns that calls wait.
+    fn observe_overdue(&mut self, leaf: LeafId, overdue: Duration, now: Time) {
+        let Some(shard) = self.view.catalog.leaf(leaf).map(|leaf| leaf.shard) else {
+            return;
+        };
+        let regions = AllowedRegions::default();
+        let outlook = self.shard_outlook(&self.view, shard, &regions, now);
+        if outlook.is_some_and(|outlook| outlook.avoided) {
+            self.rates.observe(shard, overdue, overdue, now);
+        }
     }
 
     /// Updates the statistics from the reply to a call for a request of `kind`.
@@ -408,6 +432,21 @@
             Outcome::Unknown(_) | Outcome::Failed(_) => stats.fail(now),
         }
         self.kind(kind).pressure.record(overloaded);
+        self.observe_shard(attempt.leaf, now);
+    }
+
+    /// Updates the rate of calls to the shard of a leaf that answered.
+    fn observe_shard(&mut self, leaf: LeafId, now: Time) {
+        let Some(shard) = self.view.catalog.leaf(leaf).map(|leaf| leaf.shard) else {
+            return;
+        };
+        let regions = AllowedRegions::default();
+        let outlook = self.shard_outlook(&self.view, shard, &regions, now);
+        if let Some(outlook) = outlook {
+            self.rates.answered(shard, now);
+            self.rates
+                .observe(shard, outlook.waiting, outlook.expected, now);
+        }
     }
 
     /// Returns the time after which a call to `leaf` is late, if it is known.
@@ -486,7 +525,7 @@
                 (avoided, outlook.expected) < (other, best.expected)
             };
             if best.is_none_or(better) {
-                best = Some((avoided, outlook));
+                best = Some((avoided, ShardOutlook { avoided, ..outlook }));
             }
         }
         best.filter(|_| enabled).map(|(_, outlook)| outlook)
@@ -688,6 +727,11 @@
     }
 }
 
+/// Returns a number of microseconds as a duration.
+fn micros_to_duration(micros: f64) -> Duration {
+    Duration::from_secs_f64(micros.max(0.0) / 1e6)
+}
+
 /// Rotates candidates for round robin.
 fn rotate(candidates: &mut [Candidate], turns: u64) {
     let len = candidates.len() as u64;
--- a/crates/guavacourse/src/modules/placement/outlook.rs
+++ b/crates/guavacourse/src/modules/placement/outlook.rs
@@ -4,18 +4,17 @@
 
 use super::load_report::USUAL_PACE;
 use crate::modules::{
-    replicas::{LeafStats, as_micros},
+    replicas::{LeafStats, MAX_LOAD_AGE, as_micros},
     time::Time,
 };
 
-/// Age from which the load that a leaf reported is ignored. A queue that took longer
-/// to form is visible in newer answers.
-const MAX_REPORT_AGE: Duration = Duration::from_secs(1);
-
 /// Fraction of the elapsed time by which a queue is assumed to have shrunk since it was
 /// observed: calls of other processes have taken part of the room.
 const DRAIN_FRACTION: f64 = 0.5;
 
+/// Calls without any answer for long from which they are assumed to wait for each other.
+const MIN_SILENT_CALLS: u32 = 2;
+
 /// Expected course of one more call to a leaf, or to the best leaf of a shard.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ShardOutlook {
@@ -25,14 +24,33 @@
     pub waiting: Duration,
     /// Whether any call waits there.
     pub contended: bool,
+    /// Whether the leaf is avoided because it failed or is silent; then all leaves of the
+    /// shard are.
+    pub avoided: bool,
 }
 
 impl ShardOutlook {
     /// Returns the outlook of a leaf with `slots` slots.
     #[must_use]
     pub fn of_leaf(stats: &LeafStats, slots: u32, now: Time) -> Self {
+        let outlook = Self::of_load(stats, slots, now);
+        if stats.pending < MIN_SILENT_CALLS || !stats.stalled(now) {
+            return outlook;
+        }
+        let run = outlook.expected.saturating_sub(outlook.waiting);
+        let waiting = outlook.waiting.max(stats.silence(now));
+        Self {
+            expected: run + waiting,
+            waiting,
+            contended: true,
+            ..outlook
+        }
+    }
+
+    /// Returns the outlook of a leaf from its load.
+    fn of_load(stats: &LeafStats, slots: u32, now: Time) -> Self {
         let report = stats.reported_load(now);
-        let report = report.filter(|(_, age)| *age < MAX_REPORT_AGE);
+        let report = report.filter(|(_, age)| *age < MAX_LOAD_AGE);
         let pace = report.and_then(|(load, _)| load.pace).unwrap_or(USUAL_PACE);
         let pace = f64::from(pace) / f64::from(USUAL_PACE);
         let run = stats.least_latency() * pace.max(1.0);
@@ -64,6 +82,7 @@
             expected: micros(run) + micros(waiting),
             waiting: micros(waiting),
             contended,
+            avoided: false,
         }
     }
 }
--- a/crates/guavacourse/src/modules/query/calls.rs
+++ b/crates/guavacourse/src/modules/query/calls.rs
@@ -308,6 +308,7 @@
             ctx.balancer.count_request(service, ctx.now);
         }
         let probe = ctx.balancer.sent(choice.id, choice.relay, ctx.now);
+        ctx.balancer.rates.sent(self.slots[index].shard);
         self.count_call(cause);
         self.suspicion.on_call_sent(id);
         let slot = &mut self.slots[index];
--- a/crates/guavacourse/src/modules/query/contention.rs
+++ b/crates/guavacourse/src/modules/query/contention.rs
@@ -7,7 +7,8 @@
     answer::Refusal,
     catalog::stable_hash,
     contention::{
-        scarcity::{self, Need, Verdict, is_scarce},
+        rates::Room,
+        scarcity::{self, Need, ShardState, Verdict},
         spare::own_spare,
     },
     inventory::Policy,
@@ -30,12 +31,26 @@
             return None;
         }
         let target = self.params.target?;
-        let outlooks = self.outlooks(ctx);
-        self.yields = outlooks.iter().any(Option::is_some);
+        let mut states = self.shard_states(ctx);
+        self.yields = states.iter().any(Option::is_some);
+        for (slot, state) in self.slots.iter().zip(&mut states) {
+            let Some(state) = state else {
+                continue;
+            };
+            let rates = &mut ctx.balancer.rates;
+            rates.ask(slot.shard, ctx.now);
+            if state.outlook.avoided && state.outlook.contended {
+                let ShardOutlook {
+                    waiting, expected, ..
+                } = state.outlook;
+                rates.observe(slot.shard, waiting, expected, ctx.now);
+                state.room = rates.room(slot.shard, ctx.now);
+            }
+        }
         if !self.yields {
             return None;
         }
-        let verdict = scarcity::plan(&outlooks, self.need(target), self.draw()).verdict;
+        let verdict = scarcity::plan(&states, self.need(target), self.draw()).verdict;
         let (deadline, whole) = (self.params.deadline, self.request.only_services.is_empty());
         let kind = ctx.balancer.kind(&self.request.kind);
         kind.late.count_query();
@@ -57,11 +72,11 @@
         let Some(target) = self.params.target.filter(|_| self.yields) else {
             return;
         };
-        let mut outlooks = self.outlooks(ctx);
-        for (outlook, delegated) in outlooks.iter_mut().zip(delegated) {
-            *outlook = outlook.filter(|_| !delegated);
+        let mut states = self.shard_states(ctx);
+        for (state, delegated) in states.iter_mut().zip(delegated) {
+            *state = state.filter(|_| !delegated);
         }
-        let plan = scarcity::plan(&outlooks, self.need(target), self.draw());
+        let plan = scarcity::plan(&states, self.need(target), self.draw());
         for index in plan.left_out {
             self.leave_out_shard(index);
         }
@@ -83,11 +98,11 @@
     /// Calls a held shard if no other call waits there, or if its time runs out and the
     /// kind may let another late call join the queue.
     pub(super) fn call_held(&mut self, index: usize, ctx: &mut EventContext<'_>) {
-        let outlook = self.outlook(index, ctx);
-        let contended = outlook.is_some_and(|outlook| outlook.contended);
-        let expected = outlook.map_or(Duration::ZERO, |outlook| outlook.expected);
+        let state = self.shard_state(index, ctx);
+        let free = state.is_none_or(|state| state.room == Room::Free && !state.outlook.contended);
+        let expected = state.map_or(Duration::ZERO, |state| state.outlook.expected);
         let last = ctx.now.after(expected + HELD_MARGIN) >= self.params.deadline;
-        let free = self.canary == Canary::Inactive && !contended;
+        let free = self.canary == Canary::Inactive && free;
         if free || (last && ctx.balancer.kind(&self.request.kind).late.join()) {
             self.slots[index].held = false;
             return self.call_first(index, ctx);
@@ -102,7 +117,7 @@
 
     /// Returns whether a shard that refused a call for lack of room is left out: a spare
     /// shard is left, and the best leaf has no room in time because of other calls.
-    pub(super) fn competes(&self, index: usize, ctx: &EventContext<'_>) -> bool {
+    pub(super) fn competes(&self, index: usize, ctx: &mut EventContext<'_>) -> bool {
         let Some(target) = self.params.target.filter(|_| self.yields) else {
             return false;
         };
@@ -111,7 +126,8 @@
             return false;
         }
         let left = target.left(ctx.now);
-        let scarce = self.outlook(index, ctx).is_some_and(|o| is_scarce(o, left));
+        let state = self.shard_state(index, ctx);
+        let scarce = state.is_some_and(|state| state.is_scarce(left));
         scarce || self.choose(index, ctx).is_none()
     }
 
@@ -141,18 +157,22 @@
         }
     }
 
-    fn outlooks(&self, ctx: &EventContext<'_>) -> Vec<Option<ShardOutlook>> {
-        let open = |index: usize| {
-            self.outlook(index, ctx)
-                .filter(|_| self.slots[index].is_open())
-        };
-        (0..self.slots.len()).map(open).collect()
+    fn shard_states(&self, ctx: &mut EventContext<'_>) -> Vec<Option<ShardState>> {
+        let indexes = 0..self.slots.len();
+        let states = indexes.map(|index| {
+            let state = self.shard_state(index, ctx);
+            state.filter(|_| self.slots[index].is_open())
+        });
+        states.collect()
     }
 
-    fn outlook(&self, index: usize, ctx: &EventContext<'_>) -> Option<ShardOutlook> {
-        let shard = self.slots[index].shard;
-        ctx.balancer
-            .shard_outlook(&self.view, shard, &self.params.regions, ctx.now)
+    fn shard_state(&self, index: usize, ctx: &mut EventContext<'_>) -> Option<ShardState> {
+        let (shard, regions) = (self.slots[index].shard, &self.params.regions);
+        let outlook = ctx
+            .balancer
+            .shard_outlook(&self.view, shard, regions, ctx.now)?;
+        let room = ctx.balancer.rates.room(shard, ctx.now);
+        Some(ShardState { outlook, room })
     }
 
     /// Returns how many open shards may be missing from the answer.
--- a/crates/guavacourse/src/modules/replicas.rs
+++ b/crates/guavacourse/src/modules/replicas.rs
@@ -10,6 +10,9 @@
     time::{Time, micros},
 };
 
+/// Age from which the load that a leaf reported is ignored. A queue that took longer to
+/// form is visible in newer answers.
+pub(crate) const MAX_LOAD_AGE: Duration = Duration::from_secs(1);
 /// Weight of one sample in the smoothed latency, an exponential moving average.
 const SAMPLE_WEIGHT: f64 = 0.1;
 /// Weight of one sample in the recent latency, which shows a queue within two calls.
@@ -128,6 +131,13 @@
         self.load.is_some_and(|(load, _)| load.pace.is_some())
     }
 
+    /// Returns whether the load that the leaf reported last is recent enough to rely on.
+    #[must_use]
+    pub fn reported_recently(&self, now: Time) -> bool {
+        let age = self.reported_load(now).map(|(_, age)| age);
+        age.is_some_and(|age| age < MAX_LOAD_AGE)
+    }
+
     /// Records that the leaf takes no call before `until`.
     pub fn close(&mut self, until: Time) {
         self.closed_until = until;
@@ -257,6 +267,13 @@
         self.pending > 0 && self.silent(now)
     }
 
+    /// Returns for how long calls have been pending without any answer.
+    #[must_use]
+    pub fn silence(&self, now: Time) -> Duration {
+        let since = self.waiting_since.filter(|_| self.pending > 0);
+        since.map(|since| now.since(since)).unwrap_or_default()
+    }
+
     fn silent(&self, now: Time) -> bool {
         let limit = (self.estimate(now) * SILENCE_FACTOR).max(as_micros(MIN_SILENCE));
         let silence = self.waiting_since.map(|since| now.since(since));
