--- a/crates/guavacourse/src/modules/answer.rs
+++ b/crates/guavacourse/src/modules/answer.rs
@@ -139,13 +139,16 @@
     /// The limit of concurrent queries of the kind is reached.
     #[error("not run: there is no room for more queries of kind `{0}`; repeat later, and slower")]
     Overloaded(String),
-    /// Other queries compete for too many of the shards of the kind.
+    /// Other requests compete for the room of the kind.
     #[error(
-        "not run: there is no room for more queries of kind `{kind}`; repeat in {retry_after:?}"
+        "not run: there is no room for more queries of kind `{kind}`: {cause}; repeat in \
+         {retry_after:?}"
     )]
     Contended {
         /// Name of the kind.
         kind: String,
+        /// What there is too little of.
+        cause: Shortage,
         /// Time after which room is expected.
         retry_after: Duration,
     },
@@ -166,6 +169,36 @@
     BadCoverage,
 }
 
+/// Why there is no room for a query that competes with others.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub enum Shortage {
+    /// Too many shards are scarce for an answer before the deadline.
+    #[error("too many shards are too busy to answer before the deadline")]
+    Unservable,
+    /// Too many shards are scarce for an answer in time, and enough late queries run.
+    #[error("too many shards are too busy to answer in time, and enough late queries run")]
+    Late,
+    /// The limit of concurrent queries is reached.
+    #[error("the limit of concurrent queries is reached")]
+    Limit,
+    /// The limit is reached, and the customer runs more than its share.
+    #[error("the limit of concurrent queries is reached, and the customer is above its share")]
+    Share,
+}
+
+impl Shortage {
+    /// Returns the label for metrics.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Unservable => "unservable",
+            Self::Late => "late",
+            Self::Limit => "limit",
+            Self::Share => "share",
+        }
+    }
+}
+
 /// What a query did, for `guavacourse explain`.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Trace {
--- a/crates/guavacourse/src/modules/contention/rates.rs
+++ b/crates/guavacourse/src/modules/contention/rates.rs
@@ -26,6 +26,8 @@
 const MIN_RATE: f64 = 0.5;
 /// Calls that may be saved up. The last of them is kept for queries that need the shard.
 const MAX_TOKENS: f64 = 2.0;
+/// Time for which room is kept for requests of a worth of which one found none.
+const RESERVE_TIME: Duration = Duration::from_millis(500);
 /// Time over which the demand is averaged.
 const DEMAND_WINDOW: Duration = Duration::from_millis(500);
 /// Time over which the answers are averaged. A slow leaf gives few.
@@ -47,6 +49,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct ShardRates {
     shards: Map<ShardKey, ShardRate>,
+    /// Worth of a request that found no room, and until when room is kept for its like.
+    reserved: (u32, Time),
 }
 
 /// Rate of calls to one shard.
@@ -69,17 +73,29 @@
         self.shards.clear();
     }
 
-    /// Counts a query that planned a shard, and returns the room there.
-    pub fn ask(&mut self, shard: ShardKey, now: Time) -> Room {
+    /// Counts a query that planned a shard.
+    pub fn ask(&mut self, shard: ShardKey, now: Time) {
         let shard = self.shards.entry(shard).or_default();
         shard.demand.count(DEMAND_WINDOW, now);
-        shard.room(now)
     }
 
-    /// Returns the room at a shard.
-    pub fn room(&mut self, shard: ShardKey, now: Time) -> Room {
+    /// Records that a query of a worth found no room.
+    pub fn reserve(&mut self, worth: u32, now: Time) {
+        if worth >= self.reserved.0 || now >= self.reserved.1 {
+            self.reserved = (worth, now.after(RESERVE_TIME));
+        }
+    }
+
+    /// Returns the room at a shard for a query of a worth. While room is kept for queries
+    /// of a higher worth, the query has only what those leave.
+    pub fn room(&mut self, shard: ShardKey, worth: u32, now: Time) -> Room {
         let shard = self.shards.get_mut(&shard);
-        shard.map_or(Room::Free, |shard| shard.room(now))
+        let room = shard.map_or(Room::Free, |shard| shard.room(now));
+        let (reserved, until) = self.reserved;
+        if room == Room::Tight && worth < reserved && now < until {
+            return Room::None;
+        }
+        room
     }
 
     /// Records that a call was sent to a shard.
--- a/crates/guavacourse/src/modules/load_balancer.rs
+++ b/crates/guavacourse/src/modules/load_balancer.rs
@@ -531,6 +531,20 @@
         best.filter(|_| enabled).map(|(_, outlook)| outlook)
     }
 
+    /// Lowers the limits of kinds that are worth less than one of which a query found no
+    /// room, and that call one of the same services.
+    pub(crate) fn lower_below(&mut self, view: &View, rules: &Kind, now: Time) {
+        for stats in &mut self.kinds {
+            let Some(other) = view.catalog.kinds.get(&stats.name) else {
+                continue;
+            };
+            let shares = |service: &String| rules.services.contains(service);
+            if other.rules.worth < rules.worth && other.rules.services.iter().any(shares) {
+                stats.throttle.lower(now);
+            }
+        }
+    }
+
     /// Returns whether a leaf is avoided after failures.
     pub(crate) fn avoided(&self, leaf: LeafId, now: Time) -> bool {
         self.leaves.get(&leaf).is_some_and(|leaf| leaf.avoided(now))
--- a/crates/guavacourse/src/modules/query.rs
+++ b/crates/guavacourse/src/modules/query.rs
@@ -138,6 +138,17 @@
     regions: AllowedRegions,
 }
 
+/// How a query takes part in admission control under contention.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Contention {
+    /// Not at all: nothing is known of the load of its shards.
+    Ignored,
+    /// It began to be served within its target.
+    InTime,
+    /// It began though it will be late, and counts as a late query of its kind.
+    Late,
+}
+
 /// A query in progress.
 #[derive(Debug)]
 pub struct Query {
@@ -165,10 +176,7 @@
     revision: u64,
     trace: Trace,
     open_slots: usize,
-    /// Whether shards are left out or called late if other queries compete for them.
-    yields: bool,
-    /// Whether it counts as a late query of its kind.
-    late: bool,
+    contention: Contention,
     stalled: bool,
     next_timer: Time,
     finished: bool,
@@ -197,8 +205,8 @@
         };
         let params = admission::resolve_params(&view, rules, &request, services, now);
         let adaptive = params.policy == Policy::Adaptive;
-        if adaptive && !balancer.kind(&request.kind).throttle.start() {
-            return Err(Refusal::Overloaded(request.kind));
+        if adaptive {
+            admission::start_throttled(&view, balancer, rules, &request, &params, now)?;
         }
         let slots = plan_slots(&view, kind, &params.services);
         let planned = slots.len().max(params.services.len());
@@ -242,8 +250,7 @@
             suspecting_relays: Vec::new(),
             exposure: Exposure::Unsent,
             trace,
-            yields: false,
-            late: false,
+            contention: Contention::Ignored,
             stalled: false,
             next_timer: now,
             finished: false,
@@ -409,6 +416,12 @@
             return;
         }
         let starved = self.attempts.0.iter().any(Attempt::starved);
+        if starved && !enough && self.contention != Contention::Ignored {
+            let kind = self.view.catalog.kinds.get(&self.request.kind);
+            if let Some(kind) = kind {
+                ctx.balancer.lower_below(&self.view, &kind.rules, ctx.now);
+            }
+        }
         let throttle = &mut ctx.balancer.kind(&self.request.kind).throttle;
         match (enough, starved) {
             (true, _) => throttle.served(),
--- a/crates/guavacourse/src/modules/query/admission.rs
+++ b/crates/guavacourse/src/modules/query/admission.rs
@@ -4,11 +4,13 @@
 
 use super::{QueryParams, QueryRequest};
 use crate::modules::{
-    answer::Refusal,
+    answer::{Refusal, Shortage},
     catalog::{KindEntry, ShardKey},
     customers::{AllowedRegions, Customer},
     forwarding::worth_of_rank,
     inventory::{Class, Kind, LeafState, Policy},
+    load_balancer::LoadBalancer,
+    throttle::{Claim, Excess},
     time::Time,
     view::View,
 };
@@ -100,6 +102,43 @@
     }
 }
 
+/// Starts a query under the limit of its kind. With customers, the limit is shared
+/// between them, and refused requests are told when to return.
+pub(super) fn start_throttled(
+    view: &View,
+    balancer: &mut LoadBalancer,
+    rules: &Kind,
+    request: &QueryRequest,
+    params: &QueryParams,
+    now: Time,
+) -> Result<(), Refusal> {
+    let kind = balancer.kind(&rules.name);
+    if view.catalog.customers.is_none() {
+        let started = kind.throttle.start();
+        let refusal = || Refusal::Overloaded(rules.name.clone());
+        return started.then_some(()).ok_or_else(refusal);
+    }
+    let customer = request.customer.as_deref();
+    let claim = Claim {
+        customer: customer.map_or("", |customer| &customer.name),
+        worth: params.worth,
+    };
+    let Err(excess) = kind.throttle.start_for(claim, now) else {
+        return Ok(());
+    };
+    let left = params.deadline.left(now);
+    let refusal = Refusal::Contended {
+        kind: rules.name.clone(),
+        cause: match excess {
+            Excess::Limit => Shortage::Limit,
+            Excess::Share => Shortage::Share,
+        },
+        retry_after: kind.returns.retry_after(left, now),
+    };
+    balancer.lower_below(view, rules, now);
+    Err(refusal)
+}
+
 /// Returns the regions in which the requests of a kind and a customer may be served.
 #[must_use]
 pub fn allowed_regions(rules: &Kind, customer: Option<&Customer>) -> AllowedRegions {
--- a/crates/guavacourse/src/modules/query/calls.rs
+++ b/crates/guavacourse/src/modules/query/calls.rs
@@ -6,7 +6,7 @@
     Query,
     canary::Canary,
     event::EventContext,
-    plan::{Attempt, CallHistory},
+    plan::{Attempt, CallHistory, Concession},
 };
 use crate::modules::{
     answer::{AttemptStatus, Cause},
@@ -100,7 +100,7 @@
         if !slot.is_open() {
             return;
         }
-        if slot.held && slot.retry_at <= ctx.now {
+        if slot.held() && slot.retry_at <= ctx.now {
             self.call_held(index, ctx);
         } else if slot.pending == 0 && slot.retry_at <= ctx.now {
             self.retry(index, slot.charged, ctx);
@@ -212,7 +212,7 @@
         let delegated: Vec<bool> = chosen.iter().map(|c| peer_of(c).is_some()).collect();
         self.leave_out(&delegated, ctx);
         for (index, choice) in chosen.into_iter().enumerate() {
-            if self.slots[index].left_out || self.slots[index].held {
+            if self.slots[index].left_out() || self.slots[index].held() {
                 continue;
             }
             let centre = choice.and_then(|choice| self.data_centre(choice));
@@ -313,7 +313,7 @@
         self.suspicion.on_call_sent(id);
         let slot = &mut self.slots[index];
         slot.record_call(choice.id);
-        slot.held = false;
+        slot.concession = Concession::None;
         slot.hedge_at = Time::MAX;
         let adaptive = self.params.policy == Policy::Adaptive;
         if adaptive && self.params.repeatable && slot.pending <= MAX_CONCURRENT_HEDGES {
--- a/crates/guavacourse/src/modules/query/canary.rs
+++ b/crates/guavacourse/src/modules/query/canary.rs
@@ -63,7 +63,7 @@
         let Canary::Waiting { .. } = self.canary else {
             return;
         };
-        let idle = |slot: &Slot| !slot.is_open() || slot.uncalled() || slot.held;
+        let idle = |slot: &Slot| !slot.is_open() || slot.uncalled() || slot.held();
         if self.suspicion.confirmed() {
             self.canary = Canary::Inactive;
             for index in 0..self.slots.len() {
--- a/crates/guavacourse/src/modules/query/contention.rs
+++ b/crates/guavacourse/src/modules/query/contention.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use super::{Query, canary::Canary, event::EventContext};
+use super::{Contention, Query, canary::Canary, event::EventContext, plan::Concession};
 use crate::modules::{
-    answer::Refusal,
+    answer::{Refusal, Shortage},
     catalog::stable_hash,
     contention::{
         rates::Room,
@@ -32,7 +32,10 @@
         }
         let target = self.params.target?;
         let mut states = self.shard_states(ctx);
-        self.yields = states.iter().any(Option::is_some);
+        if states.iter().all(Option::is_none) {
+            return None;
+        }
+        self.contention = Contention::InTime;
         for (slot, state) in self.slots.iter().zip(&mut states) {
             let Some(state) = state else {
                 continue;
@@ -44,24 +47,33 @@
                     waiting, expected, ..
                 } = state.outlook;
                 rates.observe(slot.shard, waiting, expected, ctx.now);
-                state.room = rates.room(slot.shard, ctx.now);
+                state.room = rates.room(slot.shard, self.params.worth, ctx.now);
             }
         }
-        if !self.yields {
-            return None;
-        }
         let verdict = scarcity::plan(&states, self.need(target), self.draw()).verdict;
         let (deadline, whole) = (self.params.deadline, self.request.only_services.is_empty());
         let kind = ctx.balancer.kind(&self.request.kind);
         kind.late.count_query();
-        self.late = verdict == Verdict::Late && kind.late.start(deadline, ctx.now);
-        if verdict == Verdict::InTime || self.late || !whole {
+        if verdict == Verdict::InTime {
+            return None;
+        }
+        if verdict == Verdict::Late && kind.late.start(deadline, ctx.now) {
+            self.contention = Contention::Late;
+            return None;
+        }
+        if !whole {
             return None;
         }
         kind.throttle.ended();
+        let retry_after = kind.returns.retry_after(deadline.left(ctx.now), ctx.now);
+        ctx.balancer.rates.reserve(self.params.worth, ctx.now);
         Some(Refusal::Contended {
             kind: self.request.kind.clone(),
-            retry_after: kind.returns.retry_after(deadline.left(ctx.now), ctx.now),
+            cause: match verdict {
+                Verdict::Unservable => Shortage::Unservable,
+                Verdict::InTime | Verdict::Late => Shortage::Late,
+            },
+            retry_after,
         })
     }
 
@@ -69,7 +81,7 @@
     /// back the calls to other scarce ones if the query is late. Peers that run the
     /// `delegated` shards are told how many shards may be missing after that.
     pub(super) fn leave_out(&mut self, delegated: &[bool], ctx: &mut EventContext<'_>) {
-        let Some(target) = self.params.target.filter(|_| self.yields) else {
+        let Some(target) = self.contended_target() else {
             return;
         };
         let mut states = self.shard_states(ctx);
@@ -82,7 +94,7 @@
         }
         for index in plan.held {
             let slot = &mut self.slots[index];
-            slot.held = true;
+            slot.concession = Concession::Held;
             slot.retry_at = ctx.now.after(HELD_CHECK_INTERVAL);
             self.trace.held += 1;
         }
@@ -90,7 +102,7 @@
 
     /// Closes the slot of a shard that others compete for.
     pub(super) fn leave_out_shard(&mut self, index: usize) {
-        self.slots[index].left_out = true;
+        self.slots[index].concession = Concession::LeftOut;
         self.trace.left_out += 1;
         self.close(index);
     }
@@ -104,11 +116,11 @@
         let last = ctx.now.after(expected + HELD_MARGIN) >= self.params.deadline;
         let free = self.canary == Canary::Inactive && free;
         if free || (last && ctx.balancer.kind(&self.request.kind).late.join()) {
-            self.slots[index].held = false;
+            self.slots[index].concession = Concession::None;
             return self.call_first(index, ctx);
         }
         if last {
-            self.slots[index].held = false;
+            self.slots[index].concession = Concession::None;
             return self.close(index);
         }
         self.slots[index].retry_at = ctx.now.after(HELD_CHECK_INTERVAL);
@@ -118,7 +130,7 @@
     /// Returns whether a shard that refused a call for lack of room is left out: a spare
     /// shard is left, and the best leaf has no room in time because of other calls.
     pub(super) fn competes(&self, index: usize, ctx: &mut EventContext<'_>) -> bool {
-        let Some(target) = self.params.target.filter(|_| self.yields) else {
+        let Some(target) = self.contended_target() else {
             return false;
         };
         let slot = &self.slots[index];
@@ -134,18 +146,24 @@
     /// Reports to the kind how a late query ended.
     pub(super) fn end_late(&mut self, enough: bool, ctx: &mut EventContext<'_>) {
         let kind = ctx.balancer.kind(&self.request.kind);
-        if enough && self.yields {
+        if enough && self.contention != Contention::Ignored {
             kind.returns.served(ctx.now);
         }
-        if std::mem::take(&mut self.late) {
+        if self.contention == Contention::Late {
             kind.late.ended(self.params.deadline, enough);
         }
     }
 
     /// Returns whether the calls of the query yield to those of queries in time.
     pub(super) fn is_late(&self, now: Time) -> bool {
-        let missed = self.params.target.is_some_and(|target| now >= target);
-        self.yields && (self.late || missed)
+        let missed = self.contended_target().is_some_and(|target| now >= target);
+        self.contention == Contention::Late || missed
+    }
+
+    /// Returns the target of a query that takes part in admission control.
+    fn contended_target(&self) -> Option<Time> {
+        let target = self.params.target;
+        target.filter(|_| self.contention != Contention::Ignored)
     }
 
     fn need(&self, target: Time) -> Need {
@@ -171,7 +189,7 @@
         let outlook = ctx
             .balancer
             .shard_outlook(&self.view, shard, regions, ctx.now)?;
-        let room = ctx.balancer.rates.room(shard, ctx.now);
+        let room = ctx.balancer.rates.room(shard, self.params.worth, ctx.now);
         Some(ShardState { outlook, room })
     }
 
--- a/crates/guavacourse/src/modules/query/parts.rs
+++ b/crates/guavacourse/src/modules/query/parts.rs
@@ -69,7 +69,7 @@
 
     /// Returns the number of spare shards that this process has not left out.
     pub(super) fn spare_left(&self) -> u32 {
-        let left_out = self.slots.iter().filter(|slot| slot.left_out).count();
+        let left_out = self.slots.iter().filter(|slot| slot.left_out()).count();
         let left_out = u32::try_from(left_out).unwrap_or(u32::MAX);
         self.spare_shards().saturating_sub(left_out)
     }
--- a/crates/guavacourse/src/modules/query/plan.rs
+++ b/crates/guavacourse/src/modules/query/plan.rs
@@ -42,10 +42,8 @@
     pub(crate) pending: u8,
     /// Whether no further call is made.
     pub(crate) closed: bool,
-    /// Whether it is closed without a call because others compete for the shard.
-    pub(crate) left_out: bool,
-    /// Whether its first call is held until no other call waits for the shard.
-    pub(crate) held: bool,
+    /// What it gives up because others compete for the shard.
+    pub(crate) concession: Concession,
     /// When a hedge is due.
     pub(crate) hedge_at: Time,
     /// When another call is due, while none is in flight.
@@ -58,6 +56,17 @@
     calls: usize,
 }
 
+/// What a query gives up at a shard because others compete for it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Concession {
+    /// Nothing.
+    None,
+    /// Its first call is held until no other call waits there.
+    Held,
+    /// It is closed without an answer.
+    LeftOut,
+}
+
 /// How the calls for a shard have ended so far.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum CallHistory {
@@ -125,6 +134,16 @@
         self.calls < MAX_CALLS && (self.max_exposed == 0 || self.exposed < self.max_exposed)
     }
 
+    /// Returns whether its first call is held.
+    pub(crate) fn held(&self) -> bool {
+        self.concession == Concession::Held
+    }
+
+    /// Returns whether it is left out.
+    pub(crate) fn left_out(&self) -> bool {
+        self.concession == Concession::LeftOut
+    }
+
     /// Returns whether the slot still waits for rows.
     pub(crate) fn is_open(&self) -> bool {
         self.body.is_none() && !self.closed
@@ -178,8 +197,7 @@
             body: None,
             pending: 0,
             closed: false,
-            left_out: false,
-            held: false,
+            concession: Concession::None,
             hedge_at: Time::MAX,
             retry_at: Time::MAX,
             charged: false,
--- a/crates/guavacourse/tests/contention/scarce.rs
+++ b/crates/guavacourse/tests/contention/scarce.rs
@@ -14,7 +14,7 @@
     let mut fleet = Fleet::new(rules.collect(), reports);
     while fleet.now < END + 2_000 {
         for (name, _, _, _, interval) in kinds {
-            if fleet.now < END && fleet.now % interval == 0 {
+            if fleet.now < END && fleet.now.is_multiple_of(*interval) {
                 fleet.start(name);
             }
         }
