--- a/crates/guavacourse/src/edge/gateway/explain.rs
+++ b/crates/guavacourse/src/edge/gateway/explain.rs
@@ -9,6 +9,14 @@
     line_budget::LineDecision,
 };
 
+/// Counts the shards that an answer concedes to other queries.
+pub(super) fn count_concessions(traffic: &Traffic, answer: &Answer) {
+    let trace = &answer.trace;
+    traffic
+        .entry_metrics
+        .record_concessions(&trace.kind, trace.left_out, trace.held);
+}
+
 /// Logs an answer that leaves shards out, or a failure.
 pub(super) fn log_incomplete(traffic: &Traffic, id: &str, answer: &Answer) {
     let trace = &answer.trace;
@@ -28,6 +36,8 @@
     tracing::info!(
         request = id,
         kind = trace.kind,
+        left_out = trace.left_out,
+        held = trace.held,
         outcome,
         missing,
         not_run,
@@ -44,8 +54,11 @@
     );
 }
 
-/// Logs a request that was refused before any call.
+/// Logs a request that was refused before any call, and counts why it found no room.
 pub(super) fn log_refusal(traffic: &Traffic, id: &str, kind: &str, refusal: &Refusal) {
+    if let Refusal::Contended { cause, .. } = refusal {
+        traffic.entry_metrics.record_shortage(kind, cause.label());
+    }
     if may_write(traffic) {
         let revision = traffic.view.load().catalog.revision;
         tracing::info!(request = id, kind, revision, %refusal, "a request was refused");
--- a/crates/guavacourse/src/edge/gateway/requests.rs
+++ b/crates/guavacourse/src/edge/gateway/requests.rs
@@ -174,6 +174,7 @@
     };
     match runner.run(request).await {
         Ok(answer) => {
+            explain::count_concessions(traffic, &answer);
             explain::log_incomplete(traffic, &id, &answer);
             from_answer(answer)
         }
--- a/crates/guavacourse/src/edge/metrics.rs
+++ b/crates/guavacourse/src/edge/metrics.rs
@@ -100,6 +100,10 @@
     pub(crate) calls: Counter<u64>,
     /// Changes in what leaves ask for, by kind.
     pub(crate) leaf_notices: Counter<u64>,
+    /// Shards that queries left out or held back for others, by kind and which.
+    conceded_shards: Counter<u64>,
+    /// Queries refused because others compete for room, by kind and cause.
+    shortages: Counter<u64>,
 }
 
 impl EntryMetrics {
@@ -110,9 +114,29 @@
             latency: meter.f64_histogram("latency_ms").build(),
             calls: meter.u64_counter("leaf_calls").build(),
             leaf_notices: meter.u64_counter("leaf_notices").build(),
+            conceded_shards: meter.u64_counter("conceded_shards").build(),
+            shortages: meter.u64_counter("shortages").build(),
         }
     }
 
+    /// Counts the shards that a query left out or held back for others.
+    pub(crate) fn record_concessions(&self, kind: &str, left_out: u32, held: u32) {
+        for (how, count) in [("left-out", left_out), ("held", held)] {
+            if count > 0 {
+                let kind = KeyValue::new("kind", kind.to_owned());
+                let how = KeyValue::new("how", how);
+                self.conceded_shards.add(u64::from(count), &[kind, how]);
+            }
+        }
+    }
+
+    /// Counts a query that was refused because others compete for room.
+    pub(crate) fn record_shortage(&self, kind: &str, cause: &'static str) {
+        let kind = KeyValue::new("kind", kind.to_owned());
+        self.shortages
+            .add(1, &[kind, KeyValue::new("cause", cause)]);
+    }
+
     /// Counts a finished request.
     pub(crate) fn record_request(&self, kind: &str, result: &'static str, took: Duration) {
         let kind = KeyValue::new("kind", kind.to_owned());
--- a/crates/guavacourse/tests/contention/fleet.rs
+++ b/crates/guavacourse/tests/contention/fleet.rs
@@ -31,6 +31,11 @@
 /// Time of one call at the usual pace.
 const WORK: u64 = 15;
 
+/// Converts milliseconds to a time.
+pub fn ms(millis: u64) -> Time {
+    Time(millis * 1_000)
+}
+
 /// Returns a kind with a target and a time limit in milliseconds.
 pub fn kind(name: &str, least_coverage: f64, target: u64, limit: u64) -> Kind {
     let target = Duration::from_millis(target);
@@ -168,7 +173,7 @@
             customer: None,
             only_services: Vec::new(),
         };
-        let now = Time(self.now * 1_000);
+        let now = ms(self.now);
         let balancer = &mut self.balancers[instance];
         match Query::start(Arc::clone(&self.view), balancer, request, now) {
             Err(refusal) => self.refused.push((self.now, refusal)),
@@ -195,13 +200,11 @@
                     continue;
                 };
                 let balancer = &mut self.balancers[running.instance];
-                let steps = running
-                    .query
-                    .on_reply(balancer, reply, Time(self.now * 1_000));
+                let steps = running.query.on_reply(balancer, reply, ms(self.now));
                 self.perform(number, steps);
             }
         }
-        let now = Time(self.now * 1_000);
+        let now = ms(self.now);
         let due = self
             .queries
             .iter()
