--- a/crates/guavacourse/src/modules/contention/rates.rs
+++ b/crates/guavacourse/src/modules/contention/rates.rs
@@ -22,8 +22,11 @@
 /// whether a decrease was enough.
 const MIN_DECREASE_INTERVAL: Duration = Duration::from_millis(50);
 const MAX_DECREASE_INTERVAL: Duration = Duration::from_millis(300);
-/// Lowest rate, in calls a second, so that the end of the contention is noticed.
-const MIN_RATE: f64 = 0.5;
+/// Lowest rate as a fraction of the demand, so that the end of the contention is noticed.
+/// A shard with one leaf of three, which is 12 times slower, still serves a fifth.
+const MIN_FRACTION: f64 = 0.1;
+/// Time without news of a shard after which its limit ends.
+const MAX_AGE: Duration = Duration::from_secs(1);
 /// Calls that may be saved up. The last of them is kept for queries that need the shard.
 const MAX_TOKENS: f64 = 2.0;
 /// Time for which room is kept for requests of a worth of which one found none.
@@ -33,6 +36,15 @@
 /// Time over which the answers are averaged. A slow leaf gives few.
 const ANSWER_WINDOW: Duration = Duration::from_secs(1);
 
+/// What shows how long calls wait at a shard.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Evidence {
+    /// An answer of a leaf.
+    Answer,
+    /// Calls that have no answer. It may be lost on the way instead.
+    Silence,
+}
+
 /// Room for one more call to a shard.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Room {
@@ -65,6 +77,9 @@
     tokens: f64,
     refilled: Time,
     next_decrease: Time,
+    /// Whether the limit is based on silence only, so that one answer ends it.
+    silent: bool,
+    observed: Time,
 }
 
 impl ShardRates {
@@ -114,13 +129,22 @@
 
     /// Records what an event showed of a shard: how long another call to its best leaf
     /// would wait and take as a whole.
-    pub fn observe(&mut self, shard: ShardKey, waiting: Duration, expected: Duration, now: Time) {
+    pub fn observe(
+        &mut self,
+        shard: ShardKey,
+        (waiting, expected): (Duration, Duration),
+        evidence: Evidence,
+        now: Time,
+    ) {
         let Some(shard) = self.shards.get_mut(&shard) else {
             return;
         };
+        shard.observed = now;
+        let silent = evidence == Evidence::Silence;
         if waiting >= CONTENDED_WAIT {
+            shard.silent = silent && (shard.silent || shard.rate.is_none());
             shard.decrease(waiting, expected, now);
-        } else {
+        } else if !silent {
             shard.increase(now);
         }
     }
@@ -154,6 +178,9 @@
 
 impl ShardRate {
     fn room(&mut self, now: Time) -> Room {
+        if now.since(self.observed) >= MAX_AGE {
+            self.rate = None;
+        }
         let Some(rate) = self.rate else {
             return Room::Free;
         };
@@ -182,19 +209,20 @@
             self.refilled = now;
         }
         self.room(now);
-        let current = self
-            .rate
-            .unwrap_or_else(|| self.demand.at(DEMAND_WINDOW, now));
+        let demand = self.demand.at(DEMAND_WINDOW, now);
+        let current = self.rate.unwrap_or(demand);
+        let least = (current * DECREASE_FACTOR).max(demand * MIN_FRACTION);
         let kept = 1.0 - as_micros(waiting) / as_micros(DRAIN_TIME);
         let lowered = self.answers.at(ANSWER_WINDOW, now).min(current) * kept;
-        self.rate = Some(lowered.max(current * DECREASE_FACTOR).max(MIN_RATE));
+        self.rate = Some(lowered.max(least));
     }
 
-    /// Raises the rate. The limit ends once the rate is above the demand.
+    /// Raises the rate. The limit ends once the rate is above the demand, or if it is based
+    /// on silence.
     fn increase(&mut self, now: Time) {
         self.room(now);
         let demand = self.demand.at(DEMAND_WINDOW, now);
         let raised = self.rate.map(|rate| rate * INCREASE_FACTOR);
-        self.rate = raised.filter(|rate| *rate < demand);
+        self.rate = raised.filter(|rate| *rate < demand && !self.silent);
     }
 }
--- a/crates/guavacourse/src/modules/load_balancer.rs
+++ b/crates/guavacourse/src/modules/load_balancer.rs
@@ -10,7 +10,11 @@
     catalog::{KindEntry, LeafEntry, LeafId, LeafKey, ShardKey},
     cleared::ClearedContents,
     collections::Map,
-    contention::{late::LateQueries, rates::ShardRates, returns::Returns},
+    contention::{
+        late::LateQueries,
+        rates::{Evidence, ShardRates},
+        returns::Returns,
+    },
     customers::AllowedRegions,
     delegation::Delegation,
     extra::{ExtraBudgets, ExtraLimits, ExtraReason},
@@ -393,7 +397,8 @@
         let regions = AllowedRegions::default();
         let outlook = self.shard_outlook(&self.view, shard, &regions, now);
         if outlook.is_some_and(|outlook| outlook.avoided) {
-            self.rates.observe(shard, overdue, overdue, now);
+            self.rates
+                .observe(shard, (overdue, overdue), Evidence::Silence, now);
         }
     }
 
@@ -444,8 +449,12 @@
         let outlook = self.shard_outlook(&self.view, shard, &regions, now);
         if let Some(outlook) = outlook {
             self.rates.answered(shard, now);
-            self.rates
-                .observe(shard, outlook.waiting, outlook.expected, now);
+            self.rates.observe(
+                shard,
+                (outlook.waiting, outlook.expected),
+                Evidence::Answer,
+                now,
+            );
         }
     }
 
--- a/crates/guavacourse/src/modules/query/contention.rs
+++ b/crates/guavacourse/src/modules/query/contention.rs
@@ -7,7 +7,7 @@
     answer::{Refusal, Shortage},
     catalog::stable_hash,
     contention::{
-        rates::Room,
+        rates::{Evidence, Room},
         scarcity::{self, Need, ShardState, Verdict},
         spare::own_spare,
     },
@@ -46,7 +46,8 @@
                 let ShardOutlook {
                     waiting, expected, ..
                 } = state.outlook;
-                rates.observe(slot.shard, waiting, expected, ctx.now);
+                let times = (waiting, expected);
+                rates.observe(slot.shard, times, Evidence::Silence, ctx.now);
                 state.room = rates.room(slot.shard, self.params.worth, ctx.now);
             }
         }
--- a/crates/guavacourse/tests/contention/decisions.rs
+++ b/crates/guavacourse/tests/contention/decisions.rs
@@ -6,7 +6,7 @@
     catalog::ShardKey,
     contention::{
         late::LateQueries,
-        rates::{Room, ShardRates},
+        rates::{Evidence, Room, ShardRates},
         scarcity::{Need, ShardState, Verdict, plan},
         spare::own_spare,
     },
@@ -15,7 +15,7 @@
 
 use crate::fleet::ms;
 
-fn state(expected: u64, room: Room) -> Option<ShardState> {
+fn state(expected: u64, room: Room) -> ShardState {
     let expected = Duration::from_millis(expected);
     let outlook = ShardOutlook {
         expected,
@@ -23,7 +23,11 @@
         contended: room != Room::Free,
         avoided: false,
     };
-    Some(ShardState { outlook, room })
+    ShardState { outlook, room }
+}
+
+fn known<const N: usize>(states: [ShardState; N]) -> [Option<ShardState>; N] {
+    states.map(Some)
 }
 
 fn need(spare: usize) -> Need {
@@ -38,12 +42,12 @@
 // Guards against leaving out another shard than the scarcest.
 #[test]
 fn the_scarcest_shard_is_left_out_first() {
-    let shards = [
+    let shards = known([
         state(20, Room::Free),
         state(100, Room::Tight),
         state(300, Room::None),
         state(250, Room::None),
-    ];
+    ]);
     assert_eq!(plan(&shards, need(1), 0).left_out, [2]);
     assert_eq!(plan(&shards, need(4), 0).left_out, [2, 3, 1]);
 }
@@ -51,7 +55,7 @@
 // Guards against using up all spare shards, so that one lost call makes the query late.
 #[test]
 fn one_spare_shard_is_kept_in_reserve() {
-    let shards: Vec<_> = (0..5).map(|_| state(300, Room::None)).collect();
+    let shards = known([state(300, Room::None); 5]);
     let planned = plan(&shards, need(5), 0);
     assert_eq!((planned.left_out.len(), planned.held.len()), (4, 0));
     assert_eq!(planned.verdict, Verdict::InTime);
@@ -61,11 +65,11 @@
 // can still be served late.
 #[test]
 fn a_query_is_refused_only_if_it_cannot_be_served_before_its_deadline() {
-    let late = [state(300, Room::None), state(1_400, Room::None)];
+    let late = known([state(300, Room::None), state(1_400, Room::None)]);
     let planned = plan(&late, need(1), 0);
     assert_eq!(planned.verdict, Verdict::Late);
     assert_eq!((planned.left_out, planned.held), (vec![1], vec![0]));
-    let lost = [state(1_600, Room::None), state(1_600, Room::None)];
+    let lost = known([state(1_600, Room::None); 2]);
     assert_eq!(plan(&lost, need(1), 0).verdict, Verdict::Unservable);
     assert_eq!(plan(&lost, need(2), 0).verdict, Verdict::InTime);
 }
@@ -74,10 +78,8 @@
 #[test]
 fn a_slow_shard_without_competition_is_not_scarce() {
     let mut slow = state(300, Room::Free);
-    if let Some(state) = &mut slow {
-        state.outlook.waiting = Duration::ZERO;
-    }
-    assert!(plan(&[slow], need(1), 0).left_out.is_empty());
+    slow.outlook.waiting = Duration::ZERO;
+    assert!(plan(&known([slow]), need(1), 0).left_out.is_empty());
 }
 
 // Guards against the parts of one query leaving out more shards together than it may:
@@ -133,7 +135,7 @@
         }
         if now % 40 == 0 {
             rates.answered(shard, ms(now));
-            rates.observe(shard, long, long, ms(now));
+            rates.observe(shard, (long, long), Evidence::Answer, ms(now));
         }
     }
     assert!(
@@ -145,12 +147,35 @@
         if now % 10 == 0 {
             rates.ask(shard, ms(now));
             rates.answered(shard, ms(now));
-            rates.observe(shard, Duration::ZERO, long, ms(now));
+            rates.observe(shard, (Duration::ZERO, long), Evidence::Answer, ms(now));
         }
     }
     assert_eq!(rates.contended(), 0);
 }
 
+// Guards against refusing queries for seconds after a link was cut: calls without an
+// answer look as if they waited for each other.
+#[test]
+fn one_answer_ends_a_limit_that_is_based_on_silence() {
+    let mut rates = ShardRates::default();
+    let shard = ShardKey::default();
+    let long = Duration::from_millis(300);
+    for now in (100..1_000).step_by(100) {
+        rates.ask(shard, ms(now));
+        rates.observe(shard, (long, long), Evidence::Silence, ms(now));
+    }
+    (0..4).for_each(|_| rates.sent(shard));
+    assert_eq!(rates.room(shard, 1, ms(1_000)), Room::None);
+    let mut answered = rates.clone();
+    answered.observe(shard, (Duration::ZERO, long), Evidence::Answer, ms(1_001));
+    assert_eq!(answered.room(shard, 1, ms(1_001)), Room::Free);
+    assert_eq!(
+        rates.room(shard, 1, ms(2_000)),
+        Room::Free,
+        "without news for 1 s"
+    );
+}
+
 // Guards against a query of low worth taking the last room at a contended shard after
 // one of higher worth found none.
 #[test]
@@ -161,7 +186,7 @@
         rates.ask(shard, ms(now));
     }
     let wait = Duration::from_millis(100);
-    rates.observe(shard, wait, wait, ms(100));
+    rates.observe(shard, (wait, wait), Evidence::Answer, ms(100));
     let tight = (101..5_000).find(|now| rates.room(shard, 1, ms(*now)) == Room::Tight);
     let now = ms(tight.expect("the shard has room in time"));
     rates.reserve(10, now);
--- a/crates/guavacourse/tests/contention/fair.rs
+++ b/crates/guavacourse/tests/contention/fair.rs
@@ -1,6 +1,6 @@
 //! Customers and ranks that share the limit of one kind.
 
-use std::{collections::VecDeque, time::Duration};
+use std::collections::VecDeque;
 
 use guavacourse::modules::{
     contention::fair::FairShares,
@@ -101,7 +101,7 @@
         throttle.start_for(claim, now).is_ok()
     });
     let [high, low] = [fraction([&results[0]]), fraction([&results[1]])];
-    assert!(high > low + 0.1, "high {high}, low {low}");
+    assert!(high > 0.8, "high {high}, low {low}");
 }
 
 // Guards against memory that grows with the names of customers.
@@ -122,6 +122,6 @@
     shares.started("", ms(1));
     assert!(!shares.below_share("", ms(2)));
     assert!(shares.below_share("other", ms(2)));
-    let later = ms(2).after(Duration::from_secs(60));
+    let later = ms(60_000);
     assert!(!shares.below_share("other", later), "an old burst counts");
 }
