--- a/crates/guavacourse/src/modules/contention/late.rs
+++ b/crates/guavacourse/src/modules/contention/late.rs
@@ -7,9 +7,9 @@
 
 use crate::modules::time::Time;
 
-/// Limit at the start: a short contention is bridged without a refusal.
-const INITIAL_LIMIT: f64 = 4.0;
-/// Lowest limit. It is not zero, so that the end of the contention is noticed.
+/// Lowest limit, and the limit at the start. It is not zero, so that a contention that
+/// ends soon is noticed. With 4 at the start, most late queries were lost in the first
+/// second, for which nothing could be told at once.
 const MIN_LIMIT: f64 = 1.0;
 /// Highest limit, which bounds the queries that wait in the process.
 const MAX_LIMIT: f64 = 64.0;
@@ -36,7 +36,7 @@
     fn default() -> Self {
         Self {
             running: Vec::new(),
-            limit: INITIAL_LIMIT,
+            limit: MIN_LIMIT,
             joins: 1.0,
         }
     }
