--- a/crates/guavacourse/tests/contention/fleet.rs
+++ b/crates/guavacourse/tests/contention/fleet.rs
@@ -10,7 +10,7 @@
 
 use guavacourse::modules::{
     answer::Refusal,
-    call::{AttemptId, ForwardedRequest, Outcome, Reply, Rows},
+    call::{AttemptId, ForwardedRequest, NotRun, Outcome, Reply, Rows},
     catalog::{Catalog, LeafId},
     inventory::{Address, Config, Forward, Kind, Leaf, Policy, Service},
     keys::{KEY_SPACE, KeyRange},
@@ -70,6 +70,11 @@
     waiting: VecDeque<(usize, AttemptId)>,
     running: Vec<(u64, usize, AttemptId)>,
     pace: u32,
+    /// Whether calls that find no free slot are refused.
+    sheds: bool,
+    /// Calls that were refused, to be reported in the next step.
+    refused: Vec<(usize, AttemptId)>,
+    calls: usize,
 }
 
 struct Running {
@@ -156,6 +161,17 @@
         leaf.expect("the shard exists").pace = pace;
     }
 
+    /// Lets the leaf of a shard refuse calls that find no free slot.
+    pub fn shed(&mut self, shard: u32) {
+        let leaf = self.leaves.get_mut(&LeafId::of(&format!("leaf-{shard}")));
+        leaf.expect("the shard exists").sheds = true;
+    }
+
+    /// Returns the number of calls to the leaf of a shard.
+    pub fn calls(&self, shard: u32) -> usize {
+        self.leaves[&LeafId::of(&format!("leaf-{shard}"))].calls
+    }
+
     /// Starts a query on the next instance.
     pub fn start(&mut self, kind: &str) {
         self.count += 1;
@@ -239,7 +255,13 @@
             pace: Some(leaf.pace),
         });
         let reply = |(_, number, attempt)| (number, answer(attempt, range, load));
-        done.into_iter().map(reply).collect()
+        let refused = std::mem::take(&mut leaf.refused).into_iter();
+        let shed = refused.map(|(number, attempt)| {
+            let outcome = Outcome::NotRun(NotRun::Shed);
+            let answer = answer(attempt, range, load);
+            (number, Reply { outcome, ..answer })
+        });
+        done.into_iter().map(reply).chain(shed).collect()
     }
 
     fn perform(&mut self, number: usize, steps: Vec<Step>) {
@@ -248,7 +270,12 @@
                 Step::Send { part, .. } => {
                     for call in part.calls {
                         let leaf = self.leaves.get_mut(&call.leaf).expect("the leaf exists");
-                        leaf.waiting.push_back((number, call.attempt));
+                        leaf.calls += 1;
+                        if leaf.sheds && leaf.running.len() + leaf.waiting.len() >= SLOTS {
+                            leaf.refused.push((number, call.attempt));
+                        } else {
+                            leaf.waiting.push_back((number, call.attempt));
+                        }
                     }
                 }
                 Step::Cancel { attempts, .. } => {
--- a/crates/guavacourse/tests/contention/scarce.rs
+++ b/crates/guavacourse/tests/contention/scarce.rs
@@ -69,3 +69,30 @@
     assert_eq!(missing.count(), 0);
     assert!(fleet.refused.is_empty());
 }
+
+// Guards against queries that call a full leaf again and again though they may leave its
+// shard out: the leaf serves 27 of the 40 queries a second and refuses the rest.
+#[test]
+fn a_shard_that_refuses_calls_for_lack_of_room_is_left_out() {
+    let run = |reports| {
+        let mut fleet = Fleet::new(vec![kind("list", 0.95, 200, 1_500)], reports);
+        fleet.shed(3);
+        fleet.set_pace(3, 1_000);
+        while fleet.now < END {
+            if fleet.now.is_multiple_of(25) && fleet.now < END - 1_000 {
+                fleet.start("list");
+            }
+            fleet.tick();
+        }
+        let [in_time, _] = fleet.served("list", 0, 200);
+        (in_time, fleet.ended.len(), fleet.calls(3))
+    };
+    let (_, queries, calls_without) = run(false);
+    let (in_time, ended, calls) = run(true);
+    assert!(calls_without > 2 * queries, "{calls_without} calls without");
+    assert!(calls <= queries, "{calls} calls of {queries} queries");
+    assert!(
+        in_time * 10 >= ended * 9,
+        "{in_time} of {ended} are in time"
+    );
+}
