--- a/crates/guavacourse/schema/wire.capnp
+++ b/crates/guavacourse/schema/wire.capnp
@@ -365,6 +365,9 @@
   slots @4 :UInt32;
   # 0 if the leaf does not report it.
   pace @5 :UInt32;
-  # Fraction of its recent calls that failed.
+  # Fraction of its calls since the last exchange that failed, and their number.
   failures @6 :Float32;
+  calls @7 :UInt32;
+  # Whether the sender learned it from another process.
+  relayed @8 :Bool;
 }
--- a/crates/guavacourse/src/edge/gateway/exchange.rs
+++ b/crates/guavacourse/src/edge/gateway/exchange.rs
@@ -25,8 +25,9 @@
         collections::Set,
         customers::{Customer, Keyring},
         line_budget::{LineBudget, LineDecision},
+        load_balancer::LoadBalancer,
         members::Member,
-        placement::load_board::Observation,
+        placement::{load_board::Observation, outboxes::Outboxes},
         quotas::{Event, Partner, Partners, Place, Quotas, Reach, Reason, Role, Verdict},
         time::Time,
         view::View,
@@ -63,6 +64,8 @@
     quotas: RefCell<Quotas>,
     /// View under which the quotas were configured.
     configured: RefCell<Option<Arc<View>>>,
+    balancer: Rc<RefCell<LoadBalancer>>,
+    outboxes: RefCell<Outboxes>,
     pool: Pool<exchange::Client>,
     /// Processes that did not answer.
     reach: RefCell<Reach>,
@@ -87,6 +90,7 @@
         clock: Clock,
         view: Published<View>,
         config: &GatewayConfig,
+        balancer: &Rc<RefCell<LoadBalancer>>,
         requests: Counter<u64>,
     ) -> Self {
         let own = config.member();
@@ -98,6 +102,8 @@
             own,
             quotas: RefCell::new(Quotas::new(config.tolerance, fastrand::u64(..))),
             configured: RefCell::default(),
+            balancer: Rc::clone(balancer),
+            outboxes: RefCell::default(),
             pool: Pool::new(executor, |node| {
                 node.exchange_request().send().pipeline.get_exchange()
             }),
@@ -148,15 +154,17 @@
         }
     }
 
-    /// Exchanges reports until the future is dropped, while customers have quotas.
+    /// Exchanges reports until the future is dropped, while customers have quotas or calls
+    /// are placed by load.
     pub(super) async fn run(self: Rc<Self>) {
         loop {
             self.configure(&self.view.load());
-            let interval = if self.quotas.borrow().is_empty() {
-                IDLE_INTERVAL
-            } else {
+            let quotas = !self.quotas.borrow().is_empty();
+            let interval = if quotas || self.balancer.borrow().shares_observations() {
                 self.exchange_due();
                 INTERVAL
+            } else {
+                IDLE_INTERVAL
             };
             Timer::after(interval + INTERVAL_JITTER.mul_f64(fastrand::f64())).await;
         }
@@ -193,12 +201,15 @@
     fn exchange_due(self: &Rc<Self>) {
         let now = self.clock.now();
         let partners = self.partners(now);
+        self.collect_observations(now);
         let mut quotas = self.quotas.borrow_mut();
         quotas.advance(now);
         quotas.retain(&partners, now);
         let events = quotas.take_events();
         for partner in partners.calls {
-            let due = quotas.due(&partner.name, now);
+            let near = partner.role != Role::Peer;
+            let due = (!quotas.is_empty() && quotas.due(&partner.name, now))
+                || (near && self.outboxes.borrow().due(&partner.name));
             if due && self.calling.borrow_mut().insert(partner.name.clone()) {
                 self.tasks
                     .spawn(&self.executor, Rc::clone(self).call(partner));
@@ -261,7 +272,7 @@
             observations: if remote {
                 Vec::new()
             } else {
-                self.take_observations()
+                self.take_observations(partner, now)
             },
         }
     }
@@ -288,15 +299,23 @@
         Ok(self.message(&message.sender, role))
     }
 
-    /// Returns observations of leaves for the other processes of the data centre.
-    #[allow(clippy::unused_self, reason = "nothing observes leaves yet")]
-    fn take_observations(&self) -> Vec<Observation> {
-        Vec::new()
+    /// Returns the observations of leaves for a process of the data centre.
+    fn take_observations(&self, partner: &str, now: Time) -> Vec<Observation> {
+        self.collect_observations(now);
+        self.outboxes.borrow_mut().take(partner, now)
+    }
+
+    /// Moves what this process has observed to the outboxes of the others.
+    fn collect_observations(&self, now: Time) {
+        let observations = self.balancer.borrow_mut().take_observations(now);
+        self.outboxes.borrow_mut().add(&observations, now);
     }
 
     /// Takes observations of leaves by other processes of the data centre.
-    #[allow(clippy::unused_self, reason = "nothing uses observations yet")]
-    fn deliver_observations(&self, _: Vec<Observation>) {}
+    fn deliver_observations(&self, observations: Vec<Observation>) {
+        let mut balancer = self.balancer.borrow_mut();
+        balancer.merge_observations(observations, self.clock.now());
+    }
 
     /// Counts a decision.
     fn count(&self, customer: &str, decision: &'static str) {
--- a/crates/guavacourse/src/edge/gateway/exchange/wire.rs
+++ b/crates/guavacourse/src/edge/gateway/exchange/wire.rs
@@ -72,6 +72,8 @@
     out.set_leaf(observation.leaf.0);
     out.set_age_millis(u32::try_from(observation.age.as_millis()).unwrap_or(u32::MAX));
     out.set_failures(observation.failures as f32);
+    out.set_calls(observation.calls);
+    out.set_relayed(observation.relayed);
     if let Some(report) = &observation.report {
         out.set_running(report.running);
         out.set_waiting(report.waiting);
@@ -122,6 +124,8 @@
         leaf: LeafId(observation.get_leaf()),
         age: Duration::from_millis(u64::from(observation.get_age_millis())),
         report: Some(report).filter(|report| report.slots > 0),
+        calls: observation.get_calls(),
         failures: f64::from(observation.get_failures()),
+        relayed: observation.get_relayed(),
     }
 }
--- a/crates/guavacourse/src/edge/gateway/requests.rs
+++ b/crates/guavacourse/src/edge/gateway/requests.rs
@@ -186,6 +186,7 @@
     };
     match runner.run(request).await {
         Ok(answer) => {
+            explain::count_concessions(traffic, &answer);
             explain::log_incomplete(traffic, &id, &answer);
             from_answer(answer)
         }
@@ -235,6 +236,10 @@
         Refusal::Quarantined => {
             CallerAnswer::not_run_until(QUARANTINE_DURATION, refusal.to_string())
         }
+        Refusal::Contended { retry_after, .. } => CallerAnswer::NotRun {
+            retry_after: *retry_after,
+            reason: refusal.to_string(),
+        },
         _ => CallerAnswer::not_run(refusal.to_string()),
     }
 }
--- a/crates/guavacourse/src/edge/gateway/serve.rs
+++ b/crates/guavacourse/src/edge/gateway/serve.rs
@@ -140,6 +140,7 @@
             self.clock,
             self.view.clone(),
             &self.config,
+            &balancer,
             self.entry_metrics.quota_requests.clone(),
         );
         let exchange = Rc::new(exchange);
--- a/crates/guavacourse/src/modules/answer.rs
+++ b/crates/guavacourse/src/modules/answer.rs
@@ -139,6 +139,19 @@
     /// The limit of concurrent queries of the kind is reached.
     #[error("not run: there is no room for more queries of kind `{0}`; repeat later, and slower")]
     Overloaded(String),
+    /// Other requests compete for the room of the kind.
+    #[error(
+        "not run: there is no room for more queries of kind `{kind}`: {cause}; repeat in \
+         {retry_after:?}"
+    )]
+    Contended {
+        /// Name of the kind.
+        kind: String,
+        /// What there is too little of.
+        cause: Shortage,
+        /// Time after which room is expected.
+        retry_after: Duration,
+    },
     /// Too few shards have a backend server in the regions that the request allows.
     #[error(
         "not run: too few backend servers of kind `{0}` are in the regions where it may be \
@@ -156,6 +169,36 @@
     BadCoverage,
 }
 
+/// Why there is no room for a query that competes with others.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub enum Shortage {
+    /// Too many shards are scarce for an answer before the deadline.
+    #[error("too many shards are too busy to answer before the deadline")]
+    Unservable,
+    /// Too many shards are scarce for an answer in time, and enough late queries run.
+    #[error("too many shards are too busy to answer in time, and enough late queries run")]
+    Late,
+    /// The limit of concurrent queries is reached.
+    #[error("the limit of concurrent queries is reached")]
+    Limit,
+    /// The limit is reached, and the customer runs more than its share.
+    #[error("the limit of concurrent queries is reached, and the customer is above its share")]
+    Share,
+}
+
+impl Shortage {
+    /// Returns the label for metrics.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Unservable => "unservable",
+            Self::Late => "late",
+            Self::Limit => "limit",
+            Self::Share => "share",
+        }
+    }
+}
+
 /// What a query did, for `guavacourse explain`.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Trace {
@@ -192,6 +235,10 @@
     pub canary: bool,
     /// Whether the query ended at its settle age, with shards still open.
     pub settled: bool,
+    /// Shards left out because other calls wait for them.
+    pub left_out: u32,
+    /// Shards called only once no other call waited for them.
+    pub held: u32,
     /// All attempts except first calls whose rows were merged.
     pub attempts: Vec<AttemptTrace>,
 }
--- a/crates/guavacourse/src/modules/load_balancer.rs
+++ b/crates/guavacourse/src/modules/load_balancer.rs
@@ -10,6 +10,11 @@
     catalog::{KindEntry, LeafId, LeafKey, ShardKey},
     cleared::ClearedContents,
     collections::Map,
+    contention::{
+        late::LateQueries,
+        rates::{Evidence, ShardRates},
+        returns::Returns,
+    },
     customers::AllowedRegions,
     delegation::Delegation,
     extra::{ExtraBudgets, ExtraLimits, ExtraReason},
@@ -20,7 +25,7 @@
     members::Member,
     placement::{
         counts::PlacementCounts, distances::Distances, load_board::LoadBoard,
-        load_report::LoadReport,
+        load_report::LoadReport, outlook::ShardOutlook,
     },
     query::plan::{Attempt, Slot},
     replicas::{Candidate, LeafStats, as_micros},
@@ -72,6 +77,8 @@
     kinds: Vec<KindStats>,
     routing: Routing,
     dropped_replies: u64,
+    /// Rates of calls to contended shards.
+    pub(crate) rates: ShardRates,
     /// Request contents that leaves have recently run without crashing.
     pub(crate) cleared: ClearedContents,
     /// Fleet-wide budget of extra calls, if there is one.
@@ -88,6 +95,8 @@
     pub(crate) retries: Budget,
     pub(crate) pressure: Pressure,
     pub(crate) throttle: Throttle,
+    pub(crate) late: LateQueries,
+    pub(crate) returns: Returns,
     services: WeightedRoundRobin,
 }
 
@@ -99,6 +108,8 @@
             retries: Budget::default(),
             pressure: Pressure::default(),
             throttle: Throttle::default(),
+            late: LateQueries::default(),
+            returns: Returns::default(),
             services: WeightedRoundRobin::default(),
         }
     }
@@ -124,6 +135,7 @@
             kinds: Vec::new(),
             routing: Routing::default(),
             dropped_replies: 0,
+            rates: ShardRates::default(),
             cleared: ClearedContents::default(),
             extra: None,
             peers: None,
@@ -277,6 +289,9 @@
             self.leaves.retain(|id, _| ids.contains_key(id));
             self.board.retain(|id| ids.contains_key(&id));
             let previous = std::mem::replace(&mut self.view, Arc::clone(view));
+            if !Arc::ptr_eq(&previous.catalog, &view.catalog) {
+                self.rates.clear();
+            }
             let shared_anew = previous.shares != view.shares;
             for (id, stats) in &mut self.leaves {
                 let restarted = previous.incarnations.get(id) != view.incarnations.get(id);
@@ -376,11 +391,31 @@
         if let Some(ratio) = hedge::ratio(&stats.latency, elapsed) {
             self.lateness.record_cancelled(ratio);
         }
-        if stats.record_cancelled(elapsed, now) {
+        let silent = stats.record_cancelled(elapsed, now);
+        let overdue = elapsed.saturating_sub(micros_to_duration(stats.least_latency()));
+        if !stats.reported_recently(now) {
+            self.observe_overdue(leaf, overdue, now);
+        }
+        if silent {
             self.observe(leaf, true, now);
         }
     }
 
+    /// Updates the rate of calls to the shard of a leaf that did not answer in time and
+    /// whose load is not known. Without this, a process that runs only queries with a
+    /// short target gets no answer and never learns that calls wait.
+    fn observe_overdue(&mut self, leaf: LeafId, overdue: Duration, now: Time) {
+        let Some(shard) = self.view.catalog.leaf(leaf).map(|leaf| leaf.shard) else {
+            return;
+        };
+        let regions = AllowedRegions::default();
+        let outlook = self.shard_outlook(&self.view, shard, &regions, now);
+        if outlook.is_some_and(|outlook| outlook.avoided) {
+            self.rates
+                .observe(shard, (overdue, overdue), Evidence::Silence, now);
+        }
+    }
+
     /// Updates the statistics from the reply to a call for a request of `kind`.
     pub(crate) fn replied(&mut self, kind: &str, attempt: &Attempt, reply: &Reply, now: Time) {
         let link_failed = self.link_failed(attempt.relay, attempt.sent);
@@ -422,6 +457,25 @@
         if !link_failed {
             self.observe(attempt.leaf, failed, now);
         }
+        self.observe_shard(attempt.leaf, now);
+    }
+
+    /// Updates the rate of calls to the shard of a leaf that answered.
+    fn observe_shard(&mut self, leaf: LeafId, now: Time) {
+        let Some(shard) = self.view.catalog.leaf(leaf).map(|leaf| leaf.shard) else {
+            return;
+        };
+        let regions = AllowedRegions::default();
+        let outlook = self.shard_outlook(&self.view, shard, &regions, now);
+        if let Some(outlook) = outlook {
+            self.rates.answered(shard, now);
+            self.rates.observe(
+                shard,
+                (outlook.waiting, outlook.expected),
+                Evidence::Answer,
+                now,
+            );
+        }
     }
 
     /// Returns the time after which a call to `leaf` is late, if it is known.
@@ -463,6 +517,63 @@
         opens.min().filter(|opens| *opens > now)
     }
 
+    /// Returns the outlook of a call to the best leaf of a shard that may be called.
+    /// Returns `None` if one of its leaves is unknown, and unless the leaves report their
+    /// pace or the configuration has customers.
+    #[must_use]
+    pub fn shard_outlook(
+        &self,
+        view: &View,
+        shard: ShardKey,
+        regions: &AllowedRegions,
+        now: Time,
+    ) -> Option<ShardOutlook> {
+        let shard = view.catalog.shards.get(shard)?;
+        let slots = view.catalog.services[shard.service].slots;
+        let mut enabled = view.catalog.customers.is_some();
+        let mut best: Option<(bool, ShardOutlook)> = None;
+        for key in &shard.replicas {
+            let leaf = &view.catalog.leaves[*key];
+            let callable = leaf.state == LeafState::Serving
+                && !view.leaving.contains(&leaf.id)
+                && regions.allows(view.catalog.region(&leaf.data_centre));
+            if !callable {
+                continue;
+            }
+            let stats = self.leaves.get(&leaf.id)?;
+            enabled |= stats.reports_pace();
+            if self.opens_at(leaf.id, now).is_some() {
+                continue;
+            }
+            if stats.unknown() {
+                return None;
+            }
+            let outlook = ShardOutlook::of_leaf(stats, slots, now);
+            let avoided = stats.avoided(now) || stats.stalled(now);
+            let better = |(other, best): (bool, ShardOutlook)| {
+                (avoided, outlook.expected) < (other, best.expected)
+            };
+            if best.is_none_or(better) {
+                best = Some((avoided, ShardOutlook { avoided, ..outlook }));
+            }
+        }
+        best.filter(|_| enabled).map(|(_, outlook)| outlook)
+    }
+
+    /// Lowers the limits of kinds that are worth less than one of which a query found no
+    /// room, and that call one of the same services.
+    pub(crate) fn lower_below(&mut self, view: &View, rules: &Kind, now: Time) {
+        for stats in &mut self.kinds {
+            let Some(other) = view.catalog.kinds.get(&stats.name) else {
+                continue;
+            };
+            let shares = |service: &String| rules.services.contains(service);
+            if other.rules.worth < rules.worth && other.rules.services.iter().any(shares) {
+                stats.throttle.lower(now);
+            }
+        }
+    }
+
     /// Returns whether a leaf is avoided after failures.
     pub(crate) fn avoided(&self, leaf: LeafId, now: Time) -> bool {
         self.leaves.get(&leaf).is_some_and(|leaf| leaf.avoided(now))
@@ -587,3 +698,8 @@
         | NotRun::Suspected => false,
     }
 }
+
+/// Returns a number of microseconds as a duration.
+fn micros_to_duration(micros: f64) -> Duration {
+    Duration::from_secs_f64(micros.max(0.0) / 1e6)
+}
--- a/crates/guavacourse/src/modules/placement.rs
+++ b/crates/guavacourse/src/modules/placement.rs
@@ -7,6 +7,8 @@
 pub mod load_board;
 pub mod load_estimate;
 pub mod load_report;
+pub mod outboxes;
+pub mod outlook;
 mod ranking;
 mod sharing;
 pub(crate) mod spread;
--- a/crates/guavacourse/src/modules/placement/load_board.rs
+++ b/crates/guavacourse/src/modules/placement/load_board.rs
@@ -143,6 +143,12 @@
         taken.collect()
     }
 
+    /// Returns whether anything was observed or shared.
+    #[must_use]
+    pub fn in_use(&self) -> bool {
+        !self.fresh.is_empty() || !self.shared.is_empty()
+    }
+
     /// Forgets the leaves for which `keep` is false.
     pub fn retain(&mut self, keep: impl Fn(LeafId) -> bool) {
         self.fresh.retain(|leaf, _| keep(*leaf));
--- a/crates/guavacourse/src/modules/placement/sharing.rs
+++ b/crates/guavacourse/src/modules/placement/sharing.rs
@@ -17,6 +17,12 @@
         observations
     }
 
+    /// Returns whether something was observed lately that peers should learn.
+    #[must_use]
+    pub fn shares_observations(&self) -> bool {
+        self.board.in_use()
+    }
+
     /// Takes what peers of the data centre observed. A report counts if it is newer than
     /// the last one known, a failure fraction in proportion to the peers that report it.
     pub fn merge_observations(&mut self, observations: Vec<Observation>, now: Time) {
--- a/crates/guavacourse/src/modules/replicas.rs
+++ b/crates/guavacourse/src/modules/replicas.rs
@@ -10,8 +10,13 @@
     time::{Time, micros},
 };
 
+/// Age from which the load that a leaf reported is ignored. A queue that took longer to
+/// form is visible in newer answers.
+pub(crate) const MAX_LOAD_AGE: Duration = Duration::from_secs(1);
 /// Weight of one sample in the smoothed latency, an exponential moving average.
 const SAMPLE_WEIGHT: f64 = 0.1;
+/// Weight of one sample in the recent latency, which shows a queue within two calls.
+const RECENT_WEIGHT: f64 = 0.5;
 /// Largest sample, as a multiple of the current estimate: a single straggler
 /// changes the estimate little, a slow leaf still does within a few calls.
 const MAX_SAMPLE_FACTOR: f64 = 4.0;
@@ -60,6 +65,8 @@
     pub closed_until: Time,
     smoothed: f64,
     min_latency: f64,
+    /// Latency that follows changes within a few calls.
+    recent: f64,
     overhead: f64,
     queued: u32,
     updated: Time,
@@ -85,7 +92,9 @@
         if self.smoothed == 0.0 {
             self.smoothed = sample;
             self.min_latency = sample;
+            self.recent = sample;
         }
+        self.recent += (sample - self.recent) * RECENT_WEIGHT;
         self.min_latency = self.min_latency.min(sample);
         let current = self.estimate(now).max(1.0);
         let clipped = sample.min(current * MAX_SAMPLE_FACTOR);
@@ -139,6 +148,19 @@
             .record(as_micros(latency) - distance, expected, now);
     }
 
+    /// Returns whether the leaf reported the pace of its machine.
+    #[must_use]
+    pub fn reports_pace(&self) -> bool {
+        self.load.reports_pace()
+    }
+
+    /// Returns whether the load that the leaf reported last is recent enough to rely on.
+    #[must_use]
+    pub fn reported_recently(&self, now: Time) -> bool {
+        let age = self.reported_load(now).map(|(_, age)| age);
+        age.is_some_and(|age| age < MAX_LOAD_AGE)
+    }
+
     /// Records that the leaf takes no call before `until`.
     pub fn close(&mut self, until: Time) {
         self.closed_until = until;
@@ -222,6 +244,18 @@
         self.min_latency + (self.smoothed - self.min_latency) * (-age).exp2()
     }
 
+    /// Returns the least latency of any call, in microseconds.
+    #[must_use]
+    pub fn least_latency(&self) -> f64 {
+        self.min_latency
+    }
+
+    /// Returns the latency of the latest calls, in microseconds.
+    #[must_use]
+    pub fn recent_latency(&self) -> f64 {
+        self.recent
+    }
+
     /// Returns the cost of one more call, in microseconds, from measurements of
     /// this process alone.
     #[must_use]
@@ -276,6 +310,13 @@
         self.pending > 0 && self.silent(now)
     }
 
+    /// Returns for how long calls have been pending without any answer.
+    #[must_use]
+    pub fn silence(&self, now: Time) -> Duration {
+        let since = self.waiting_since.filter(|_| self.pending > 0);
+        since.map(|since| now.since(since)).unwrap_or_default()
+    }
+
     fn silent(&self, now: Time) -> bool {
         let limit = (self.estimate(now) * SILENCE_FACTOR).max(as_micros(MIN_SILENCE));
         let silence = self.waiting_since.map(|since| now.since(since));
