--- a/crates/guavacourse/src/edge/gateway/follow.rs
+++ b/crates/guavacourse/src/edge/gateway/follow.rs
@@ -6,10 +6,12 @@
 mod feed;
 pub(super) mod findings;
 mod pause;
+mod restored;
 mod sources;
 
 use std::{
     cell::{Cell, RefCell},
+    collections::VecDeque,
     net::TcpListener,
     rc::Rc,
     time::Duration,
@@ -22,6 +24,7 @@
 use self::{
     feed::FeedServer,
     pause::{Backoff, MAX_BACKOFF},
+    restored::Restored,
     sources::Sources,
 };
 use super::{GatewayConfig, Registry, RegistryError, freshness::Freshness};
@@ -33,8 +36,9 @@
         worker::StopSignal,
     },
     modules::{
-        crash_evidence::Finding,
+        crash_evidence::{CrashReport, Finding},
         directory::{Change, Directory, FirstReading, RegistryReading},
+        era::Position,
         inventory::Address,
         journal::Journal,
         members::{Member, MemberState, Role},
@@ -92,7 +96,8 @@
         let registering = follower.keep_registered();
         let expiring = follower.remove_expired();
         let reporting = follower.report_findings();
-        futures::future::join4(following, registering, expiring, reporting).await;
+        let repeating = follower.repeat_reports();
+        futures::future::join5(following, registering, expiring, reporting, repeating).await;
     };
     work.or(stop.wait()).await;
     peers.cancel().await;
@@ -115,8 +120,14 @@
     sources: Sources,
     /// Peers that wait for changes.
     waiters: RefCell<Vec<oneshot::Sender<()>>>,
-    /// Revision of the registry up to which changes were applied.
-    revision: Cell<u64>,
+    /// Position of the registry up to which changes were applied.
+    position: Cell<Position>,
+    /// Whether a peer was asked for its version of the configuration.
+    asked_version: Cell<bool>,
+    /// Crashes that this process reported to the registry.
+    reported: RefCell<VecDeque<CrashReport>>,
+    /// Wakes the tasks that write to a restored registry again.
+    restored: Restored,
     /// When this process last knew that it was up to date.
     fresh_at: Cell<Option<Time>>,
     /// When this process lost the registry and began to depend on peers; `None` if it
@@ -130,8 +141,8 @@
 /// Progress of this process's own reads of the registry.
 #[derive(Debug, Default)]
 struct ReadState {
-    /// Revision to watch from; `None` until the whole registry was read.
-    after: Option<u64>,
+    /// Position to watch from; `None` until the whole registry was read.
+    after: Option<Position>,
     backoff: Backoff,
 }
 
@@ -144,7 +155,10 @@
             journal: Journal::new(fastrand::u64(1..)).into(),
             sources: Sources::new(executor),
             waiters: RefCell::default(),
-            revision: Cell::new(0),
+            position: Cell::default(),
+            asked_version: Cell::new(false),
+            reported: RefCell::default(),
+            restored: Restored::default(),
             fresh_at: Cell::new(None),
             cut_off: Cell::new(None),
             fleet_known: Cell::new(None),
@@ -182,16 +196,19 @@
     async fn read_first(&self, state: &mut ReadState) {
         match self.registry.read_first().await {
             Ok(FirstReading {
-                reading,
+                mut reading,
                 whole: true,
             }) => {
-                state.after = Some(reading.as_of);
-                self.apply_reading(reading, true, self.setup.clock.now());
+                let position = self.position_of(&reading);
+                state.after = Some(position);
+                self.add_newer_version(&mut reading).await;
+                self.apply_reading(reading, position, true, self.setup.clock.now());
             }
-            Ok(FirstReading { reading, .. }) => {
+            Ok(FirstReading { mut reading, .. }) => {
                 let members = reading.changes.iter().filter_map(Change::member);
                 let plan = self.readers.plan(members);
                 if !plan.start_wait.is_zero() {
+                    self.add_newer_version(&mut reading).await;
                     self.fleet_known.set(Some(self.setup.clock.now()));
                     self.apply_changes(reading.without_leaves().changes);
                 }
@@ -221,7 +238,7 @@
 
     /// Reads the whole registry, or waits once for changes after what was read.
     async fn read_registry(&self, state: &mut ReadState, wait: Duration) {
-        let known = self.revision.get();
+        let known = self.position.get();
         // Peers may have brought this process further than its own readings did.
         state.after = state.after.map(|after| after.max(known));
         let read = match state.after {
@@ -229,37 +246,54 @@
             Some(after) => self.registry.watch(after, wait).await,
         };
         match read {
-            Ok(reading) if self.was_overtaken(known, &reading) => {
+            Ok(reading) if self.was_overtaken(known, self.position_of(&reading)) => {
                 state.after = None;
                 self.end_cut_off();
             }
-            Ok(reading) => {
+            Ok(mut reading) => {
                 state.backoff.reset();
                 self.end_cut_off();
-                let whole = state.after.is_none();
+                let (whole, position) = (state.after.is_none(), self.position_of(&reading));
                 let changed = !reading.changes.is_empty();
-                state.after = state.after.max(Some(reading.as_of));
-                self.apply_reading(reading, whole, self.setup.clock.now());
+                state.after = state.after.max(Some(position));
+                let read_at = self.setup.clock.now();
+                if known == Position::default() {
+                    self.add_newer_version(&mut reading).await;
+                }
+                self.apply_reading(reading, position, whole, read_at);
                 if changed {
                     Timer::after(BATCH_DELAY).await;
                 }
             }
             Err(RegistryError::Compacted) => {
                 tracing::info!(
-                    after = state.after,
+                    after = ?state.after,
                     "the registry no longer holds these changes; all of it is read again"
                 );
                 state.after = None;
             }
+            Err(error @ RegistryError::Restored) => {
+                tracing::info!(era = self.registry.era(), "{error}");
+                state.after = None;
+                Timer::after(SOURCE_RETRY_DELAY).await;
+            }
             Err(error) => self.record_failure(state, &error).await,
         }
     }
 
     /// Returns whether peers brought this process past a reading while it was made, so
     /// that the reading is older than what is known.
-    fn was_overtaken(&self, before: u64, reading: &RegistryReading) -> bool {
-        let known = self.revision.get();
-        known > before && reading.as_of < known
+    fn was_overtaken(&self, before: Position, reading: Position) -> bool {
+        let known = self.position.get();
+        known > before && reading < known
+    }
+
+    /// Returns the position of a reading that the registry has just returned.
+    fn position_of(&self, reading: &RegistryReading) -> Position {
+        Position {
+            era: self.registry.era(),
+            revision: reading.as_of,
+        }
     }
 
     /// Records that the registry could not be read, and waits before the next call.
@@ -286,10 +320,16 @@
         }
     }
 
-    /// Applies a reading of the registry that was up to date at `fresh_at`.
+    /// Applies a reading of the registry at `position` that was up to date at `fresh_at`.
     /// `whole` says that it holds the whole registry, not only changes.
-    fn apply_reading(&self, reading: RegistryReading, whole: bool, fresh_at: Time) {
-        self.revision.set(self.revision.get().max(reading.as_of));
+    fn apply_reading(
+        &self,
+        reading: RegistryReading,
+        position: Position,
+        whole: bool,
+        fresh_at: Time,
+    ) {
+        self.enter(position);
         self.fresh_at.set(self.fresh_at.get().max(Some(fresh_at)));
         self.setup.freshness.record(fresh_at);
         if whole {
@@ -299,6 +339,26 @@
         }
     }
 
+    /// Moves to a position of the registry. If the registry was restored since the last
+    /// one, what this process keeps in it is written again.
+    fn enter(&self, position: Position) {
+        let known = self.position.get();
+        self.position.set(known.max(position));
+        if !position.is_restored_after(known) {
+            return;
+        }
+        tracing::warn!(
+            ?known,
+            ?position,
+            "the registry came back from an older copy; entries that it lacks are kept until \
+             their owners have had time to write them again"
+        );
+        self.directory
+            .borrow_mut()
+            .record_restore(self.setup.clock.now());
+        self.restored.notify();
+    }
+
     fn apply_changes(&self, changes: Vec<Change>) {
         self.update(|directory, now| {
             let mut different = false;
@@ -322,7 +382,7 @@
             match self.registry.register(self.was_removed()).await {
                 Ok(()) => {
                     backoff.reset();
-                    Timer::after(RENEWAL_INTERVAL).await;
+                    self.restored.registration(RENEWAL_INTERVAL).await;
                 }
                 Err(error) => backoff.wait(&error).await,
             }
--- a/crates/guavacourse/src/edge/gateway/follow/feed.rs
+++ b/crates/guavacourse/src/edge/gateway/follow/feed.rs
@@ -10,7 +10,10 @@
 use super::{Follower, Registry};
 use crate::{
     generated::wire_capnp::{feed, news},
-    modules::journal::{CatchUp, Cursor},
+    modules::{
+        era::Position,
+        journal::{CatchUp, Cursor},
+    },
 };
 
 /// Longest wait for changes that a peer may ask for.
@@ -31,12 +34,15 @@
             sequence: params.get_sequence(),
         };
         let wait = Duration::from_millis(params.get_wait_millis().into()).min(MAX_WAIT);
-        let revision = params.get_revision();
+        let known = Position {
+            era: params.get_era(),
+            revision: params.get_revision(),
+        };
         let asked = self.0.setup.clock.now();
         self.0.wait_for_change(cursor, wait).await;
         let mut news = results.get().init_news();
         news.set_held_millis(floor_millis(self.0.setup.clock.now().since(asked)));
-        self.0.write_news(news, cursor, revision)
+        self.0.write_news(news, cursor, known)
     }
 }
 
@@ -66,13 +72,22 @@
         }
     }
 
-    /// Writes what a peer at `cursor` lacks. A peer with an unknown cursor that has seen
-    /// the registry up to the same `revision` holds the same state already, and one that
-    /// has seen more would ignore it; the whole state is not sent to these.
-    fn write_news(&self, mut out: news::Builder<'_>, cursor: Cursor, revision: u64) -> Result<()> {
+    /// Writes what a peer at `cursor` lacks. The whole state is not sent to a peer that
+    /// would ignore it, or that holds it already: one that has seen as much of the registry
+    /// as this process. After a restore it is sent, because processes differ in what they
+    /// know from before.
+    fn write_news(
+        &self,
+        mut out: news::Builder<'_>,
+        cursor: Cursor,
+        known: Position,
+    ) -> Result<()> {
         let journal = self.journal.borrow();
         let mut missed = journal.since(cursor);
-        if missed == CatchUp::FullState && revision > 0 && revision >= self.revision.get() {
+        let position = self.position.get();
+        let same = known == position && (known.era == 0 || self.cut_off.get().is_some());
+        let held = known.revision > 0 && (same || known > position);
+        if missed == CatchUp::FullState && held {
             missed = CatchUp::Since(Vec::new());
         }
         let whole = missed == CatchUp::FullState;
@@ -83,7 +98,8 @@
         let latest = journal.cursor();
         out.set_incarnation(latest.incarnation);
         out.set_sequence(latest.sequence);
-        out.set_revision(self.revision.get());
+        out.set_revision(position.revision);
+        out.set_era(position.era);
         out.set_age_millis(self.age().map_or(u64::MAX, ceil_millis));
         out.set_cut_off(self.cut_off.get().is_some());
         out.set_whole(whole);
--- a/crates/guavacourse/src/edge/gateway/follow/findings.rs
+++ b/crates/guavacourse/src/edge/gateway/follow/findings.rs
@@ -16,6 +16,9 @@
 /// Maximum number of findings that are written together.
 const MAX_BATCH: usize = 16;
 
+/// Maximum number of written reports that are kept, so that they can be written again.
+const MAX_REMEMBERED: usize = 256;
+
 /// Creates the channel from the traffic thread to the control thread.
 pub(in crate::edge::gateway) fn channel() -> (Sender<Finding>, Receiver<Finding>) {
     channel::bounded(MAX_WAITING)
@@ -39,6 +42,7 @@
             self.apply_changes(reports.iter().cloned().map(Change::Crashed).collect());
             if !reports.is_empty() {
                 tracing::info!(?reports, "leaves crashed while they ran requests");
+                self.remember(&reports);
                 self.write(|| self.registry.report_crashes(&reports)).await;
             }
             for content in batch.iter().filter_map(completed) {
@@ -47,6 +51,14 @@
         }
     }
 
+    /// Keeps the reports for a registry that loses them.
+    fn remember(&self, reports: &[CrashReport]) {
+        let mut reported = self.reported.borrow_mut();
+        reported.extend(reports.iter().cloned());
+        let surplus = reported.len().saturating_sub(MAX_REMEMBERED);
+        reported.drain(..surplus);
+    }
+
     /// Removes the reports against content that proved harmless.
     async fn retract(&self, content: u64) {
         let leaves = self.directory.borrow().crashes().leaves(content);
@@ -63,7 +75,7 @@
     }
 
     /// Writes to the registry until that succeeds.
-    async fn write<F>(&self, write: impl Fn() -> F)
+    pub(super) async fn write<F>(&self, write: impl Fn() -> F)
     where
         F: Future<Output = Result<(), RegistryError>>,
     {
--- a/crates/guavacourse/src/edge/gateway/follow/sources.rs
+++ b/crates/guavacourse/src/edge/gateway/follow/sources.rs
@@ -16,6 +16,7 @@
     modules::{
         collections::Map,
         directory::{Change, RegistryReading},
+        era::Position,
         inventory::Address,
         journal::Cursor,
         members::Member,
@@ -32,6 +33,10 @@
 /// but may have little processor time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(250);
 
+/// Time in which peers are asked for the version of the configuration at the start of a
+/// process. It delays the start where the copy lists processes that are gone.
+pub(super) const VERSION_TIMEOUT: Duration = Duration::from_millis(800);
+
 /// Time for which a source that did not answer is skipped.
 const AVOID_PERIOD: Duration = Duration::from_secs(1);
 
@@ -41,14 +46,14 @@
     wait: Duration,
     /// When it is asked.
     now: Time,
-    /// Revision of the registry up to which changes are known.
-    revision: u64,
+    /// Position of the registry up to which changes are known.
+    known: Position,
 }
 
 /// Answer of a source.
 struct News {
     cursor: Cursor,
-    revision: u64,
+    position: Position,
     age: Duration,
     /// Time up to which the state is known to be up to date.
     fresh_at: Time,
@@ -120,7 +125,8 @@
         params.set_sequence(cursor.sequence);
         let wait = question.wait.as_millis();
         params.set_wait_millis(u32::try_from(wait).unwrap_or(u32::MAX));
-        params.set_revision(question.revision);
+        params.set_revision(question.known.revision);
+        params.set_era(question.known.era);
         let answer = request.send().promise.await?;
         let news = answer.get()?.get_news()?;
         let changes = serde_json::from_slice(news.get_changes()?);
@@ -131,7 +137,10 @@
                 incarnation: news.get_incarnation(),
                 sequence: news.get_sequence(),
             },
-            revision: news.get_revision(),
+            position: Position {
+                era: news.get_era(),
+                revision: news.get_revision(),
+            },
             age,
             // The time that the answer travelled counts as age, so that processes that
             // follow each other do not keep an old state fresh.
@@ -243,7 +252,7 @@
         let question = Question {
             wait: if current { POLL_WAIT } else { Duration::ZERO },
             now,
-            revision: self.revision.get(),
+            known: self.position.get(),
         };
         self.sources.ask(peer, &question).await
     }
@@ -251,18 +260,31 @@
     /// Applies the answer of a source. Returns `false` if the source has seen less
     /// of the registry than this process.
     fn apply_news(&self, source: Address, news: News) -> bool {
-        if news.revision < self.revision.get() {
+        if news.position < self.position.get() {
             return false;
         }
+        self.registry.note_era(news.position.era);
         self.sources
             .cursors
             .borrow_mut()
             .insert(source, news.cursor);
         let reading = RegistryReading {
-            as_of: news.revision,
+            as_of: news.position.revision,
             changes: news.changes,
         };
-        self.apply_reading(reading, news.whole, news.fresh_at);
+        self.apply_reading(reading, news.position, news.whole, news.fresh_at);
         true
     }
+
+    /// Returns the whole state of a peer; `None` if it does not answer or has no state.
+    pub(super) async fn state_of(&self, peer: Address) -> Option<Vec<Change>> {
+        let question = Question {
+            wait: Duration::ZERO,
+            now: self.setup.clock.now(),
+            known: Position::default(),
+        };
+        let news = self.sources.ask(peer, &question).await?;
+        let changes = Some(news.changes);
+        changes.filter(|changes| changes.iter().any(|change| change.version() > 0))
+    }
 }
--- a/crates/guavacourse/src/edge/gateway/registry.rs
+++ b/crates/guavacourse/src/edge/gateway/registry.rs
@@ -7,6 +7,7 @@
 use crate::modules::{
     crash_evidence::{CrashReport, CrashedLeaf},
     directory::{FirstReading, RegistryReading},
+    era::Position,
 };
 
 /// Why a call to the registry failed.
@@ -15,6 +16,10 @@
     /// The registry no longer holds the changes since the requested revision.
     #[error("the registry no longer holds the requested changes; all of it is read again")]
     Compacted,
+    /// The registry has entered another era since the position that the call names, or
+    /// the answer is of an earlier era.
+    #[error("the registry was restored from an older copy; all of it is read again")]
+    Restored,
     /// The registry cannot be reached, or currently refuses calls.
     #[error("the registry is unavailable: {0}; check its address and its load")]
     Unavailable(String),
@@ -29,13 +34,22 @@
     /// Reads the whole registry.
     fn read(&self) -> impl Future<Output = Result<RegistryReading, RegistryError>>;
 
-    /// Waits for changes after a revision, at most `wait`.
+    /// Waits for changes after a position, at most `wait`. Fails with
+    /// [`RegistryError::Restored`] if the registry is in another era than `after`, even if
+    /// it answers.
     fn watch(
         &self,
-        after: u64,
+        after: Position,
         wait: Duration,
     ) -> impl Future<Output = Result<RegistryReading, RegistryError>>;
 
+    /// Returns the highest era of the registry that is known, to which every reading
+    /// belonged when it was returned; 0 if the registry names none.
+    fn era(&self) -> u64;
+
+    /// Records an era that a peer has seen.
+    fn note_era(&self, era: u64);
+
     /// Writes reports of leaves that crashed.
     fn report_crashes(
         &self,
--- a/crates/guavacourse/src/modules/directory.rs
+++ b/crates/guavacourse/src/modules/directory.rs
@@ -30,6 +30,11 @@
 /// Time after an outage of the registry within which a live leaf registers again.
 const REREGISTER_TIMEOUT: Duration = Duration::from_millis(2_200);
 
+/// Time after the registry came back from an older copy within which live leaves and
+/// processes register again: a process renews its registration every 4 s, and leaves take
+/// a few seconds.
+const RESTORE_GRACE: Duration = Duration::from_secs(6);
+
 /// Maximum number of removed leaves that are remembered, so that an old entry does
 /// not bring them back. Also bounds the remembered unreadable entries.
 const MAX_REMEMBERED: usize = 4_096;
@@ -49,12 +54,16 @@
     regions: Map<String, String>,
     deployment: Option<Deployment>,
     leaves: Map<String, KnownLeaf>,
-    /// Incarnation and sequence number of the last entry of each removed leaf.
-    removed: Map<String, (u64, u64)>,
+    /// The last entry of each removed leaf.
+    removed: Map<String, RemovedLeaf>,
     fleet: Fleet,
     crashes: CrashEvidence,
     /// When the registry last could not be read.
     outage: Option<Time>,
+    /// Number of times that the registry came back from an older copy.
+    restores: u64,
+    /// Time until which entries that the older copy lacks are kept.
+    restored_until: Option<Time>,
     /// Faults of the entries that cannot be read, by key.
     unreadable: Map<String, String>,
     events: Vec<DirectoryEvent>,
@@ -69,6 +78,15 @@
     expires: Option<Time>,
 }
 
+/// Last entry of a removed leaf.
+#[derive(Clone, Copy, Debug)]
+struct RemovedLeaf {
+    /// Incarnation and sequence number.
+    stamp: (u64, u64),
+    /// Number of restores of the registry when it was removed.
+    restores: u64,
+}
+
 impl Directory {
     /// Creates an empty directory for the process `own`; `regions` names the
     /// region of each data centre.
@@ -86,6 +104,19 @@
         self.outage = Some(now);
     }
 
+    /// Records that the registry came back from an older copy. Entries that the copy lacks
+    /// are kept until their owners have had time to write them again.
+    pub fn record_restore(&mut self, now: Time) {
+        self.restores += 1;
+        self.restored_until = Some(now.after(RESTORE_GRACE));
+    }
+
+    /// Returns the time until which missing entries are kept, if an older copy of the
+    /// registry may lack them.
+    fn restore_deadline(&self, now: Time) -> Option<Time> {
+        self.restored_until.filter(|until| now < *until)
+    }
+
     /// Applies one change. Returns whether the directory is different now.
     pub fn apply(&mut self, change: Change, now: Time) -> bool {
         match change {
@@ -131,6 +162,8 @@
             changed |= self.member_missing(name, now);
         }
         let known = self.crashes.reports();
+        // The processes that reported the crashes write them again.
+        let known = known.filter(|_| self.restore_deadline(now).is_none());
         let known = known.map(|report| (report.content, report.leaf.clone()));
         let missing: Vec<_> = known.filter(|known| !crashes.contains(known)).collect();
         for (content, leaf) in missing {
@@ -158,7 +191,10 @@
     /// entry has been gone for a while, and quarantines that have lasted long enough.
     /// Returns whether there were any.
     pub fn tick(&mut self, now: Time) -> bool {
-        let others_removed = self.fleet.expire(now) | self.crashes.expire(now);
+        let mut others_removed = self.fleet.expire(now) | self.crashes.expire(now);
+        for name in self.fleet.overdue(now) {
+            others_removed |= self.member_missing(name, now);
+        }
         let expired = |held: &KnownLeaf| held.expires.is_some_and(|expires| now >= expires);
         let expired = self.leaves.iter().filter(|(_, held)| expired(held));
         let expired: Vec<String> = expired.map(|(name, _)| name.clone()).collect();
@@ -320,8 +356,12 @@
         let stamp = (record.born, record.sequence);
         let held = self.leaves.get(&record.name);
         let known = held.map(|held| (held.record.born, held.record.sequence));
-        let known = known.or_else(|| self.removed.get(&record.name).copied());
-        if known.is_some_and(|known| stamp < known) {
+        let removed = self.removed.get(&record.name).copied();
+        // An older copy of the registry may hold an entry again that was removed since.
+        let returned = removed
+            .is_some_and(|removed| stamp == removed.stamp && removed.restores < self.restores);
+        let known = known.or(removed.map(|removed| removed.stamp));
+        if returned || known.is_some_and(|known| stamp < known) {
             self.events
                 .push(DirectoryEvent::OldEntry { leaf: record.name });
             return false;
@@ -350,7 +390,9 @@
             return false;
         };
         let deadline = self.outage.map(|outage| outage.after(REREGISTER_TIMEOUT));
-        match deadline.filter(|deadline| now < *deadline) {
+        let deadline = deadline.filter(|deadline| now < *deadline);
+        let deadline = deadline.max(self.restored_until.filter(|until| now < *until));
+        match deadline {
             Some(deadline) => {
                 held.expires.get_or_insert(deadline);
                 false
@@ -373,6 +415,10 @@
 
     /// Marks a process whose entry is gone as leaving. Returns whether that is new.
     fn member_missing(&mut self, name: String, now: Time) -> bool {
+        if let Some(until) = self.restore_deadline(now) {
+            self.fleet.keep(&name, until);
+            return false;
+        }
         let new = self.fleet.mark_leaving(&name, now);
         if new {
             self.changes.push(Change::MemberGone(name));
@@ -413,8 +459,11 @@
             if self.removed.len() >= MAX_REMEMBERED {
                 self.removed.clear();
             }
-            let stamp = (held.record.born, held.record.sequence);
-            self.removed.insert(name.to_owned(), stamp);
+            let removed = RemovedLeaf {
+                stamp: (held.record.born, held.record.sequence),
+                restores: self.restores,
+            };
+            self.removed.insert(name.to_owned(), removed);
         }
     }
 }
--- a/crates/guavacourse/src/modules/directory/fleet.rs
+++ b/crates/guavacourse/src/modules/directory/fleet.rs
@@ -21,6 +21,8 @@
     member: Member,
     /// When the process no longer counts, if its entry is gone.
     expires: Option<Time>,
+    /// When its entry counts as gone, if a restored registry lacks it.
+    absent: Option<Time>,
 }
 
 impl Fleet {
@@ -29,6 +31,7 @@
         let known = Registered {
             member: member.clone(),
             expires: None,
+            absent: None,
         };
         let previous = self.0.insert(member.name.clone(), known);
         previous.is_none_or(|previous| previous.expires.is_some() || previous.member != *member)
@@ -40,10 +43,25 @@
             return false;
         };
         known.expires = Some(now.after(MEMBER_RETENTION));
+        known.absent = None;
         known.member.state = MemberState::Leaving;
         true
     }
 
+    /// Keeps a process whose entry a restored registry lacks until `until`.
+    pub(super) fn keep(&mut self, name: &str, until: Time) {
+        if let Some(known) = self.0.get_mut(name) {
+            known.absent.get_or_insert(until);
+        }
+    }
+
+    /// Returns the processes that were kept and have not registered again in time.
+    pub(super) fn overdue(&self, now: Time) -> Vec<String> {
+        let absent = |known: &Registered| known.absent.is_some_and(|until| now >= until);
+        let overdue = self.0.iter().filter(|(_, known)| absent(known));
+        overdue.map(|(name, _)| name.clone()).collect()
+    }
+
     /// Returns the names of the known processes that are not among `listed`.
     pub(super) fn missing(&self, listed: &Set<String>) -> Vec<String> {
         let names = self.0.keys().filter(|name| !listed.contains(*name));
@@ -61,7 +79,9 @@
 
     /// Returns when [`Self::expire`] is due next.
     pub(super) fn next_expiry(&self) -> Option<Time> {
-        self.0.values().filter_map(|known| known.expires).min()
+        let expiries = self.0.values();
+        let expiries = expiries.flat_map(|known| [known.expires, known.absent]);
+        expiries.flatten().min()
     }
 
     /// Returns all processes that count; those whose entry is gone are leaving.
--- a/crates/guavacourse/src/modules/directory/records.rs
+++ b/crates/guavacourse/src/modules/directory/records.rs
@@ -82,6 +82,15 @@
 }
 
 impl Change {
+    /// Returns the version of the configuration that was written; 0 for other changes.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        match self {
+            Self::Deployed(deployment) => deployment.version,
+            _ => 0,
+        }
+    }
+
     /// Returns the process that registered, if this is its entry.
     #[must_use]
     pub fn member(&self) -> Option<&Member> {
--- a/crates/guavacourse/src/modules/mod.rs
+++ b/crates/guavacourse/src/modules/mod.rs
@@ -25,6 +25,7 @@
 pub mod departed;
 pub mod departure;
 pub mod directory;
+pub mod era;
 pub mod exposure;
 pub mod extra;
 pub mod forwarding;
