--- a/crates/guavacourse/tests/directory.rs
+++ b/crates/guavacourse/tests/directory.rs
@@ -317,3 +317,92 @@
     assert_eq!(directory.crashes().leaves(7), []);
     assert_eq!(directory.crashes().leaves(8), [crashed_leaf("a")]);
 }
+
+/// Returns what a peer that follows the directory learns next.
+fn gone_members(directory: &mut Directory) -> Vec<String> {
+    let changes = directory.take_changes().into_iter();
+    let gone = changes.filter_map(|change| match change {
+        Change::MemberGone(name) => Some(name),
+        _ => None,
+    });
+    gone.collect()
+}
+
+// Guards against a leaf that left and is called again: an older copy of the registry holds
+// its last entry.
+#[test]
+fn an_older_copy_does_not_bring_back_a_leaf_that_left() {
+    for restored in [false, true] {
+        let mut directory = directory();
+        assert!(directory.apply(Change::LeafGone("b".to_owned()), at(0)));
+        if restored {
+            directory.record_restore(at(10));
+        }
+        let back = directory.replace(reading(&["a", "b"]), at(10));
+        assert_eq!(back, !restored);
+        assert_eq!(
+            serving_leaves(&directory).len(),
+            if restored { 1 } else { 2 }
+        );
+        directory.apply(Change::Leaf(record("b", 1, 2)), at(20));
+        assert_eq!(serving_leaves(&directory), ["a", "b"]);
+    }
+}
+
+// Guards against leaves that a restore takes out of service, and against dead ones that
+// stay.
+#[test]
+fn leaves_that_an_older_copy_lacks_are_kept_for_a_while() {
+    let mut directory = directory();
+    directory.record_restore(at(0));
+    assert!(!directory.replace(reading(&["a"]), at(0)));
+    assert!(!directory.apply(Change::LeafGone("a".to_owned()), at(3_000)));
+    directory.apply(Change::Leaf(record("a", 1, 1)), at(3_500));
+    assert!(!directory.tick(at(5_900)));
+    assert_eq!(serving_leaves(&directory), ["a", "b"]);
+    assert!(directory.tick(at(6_000)));
+    assert_eq!(serving_leaves(&directory), ["a"]);
+}
+
+// Guards against processes that count as leaving because the copy is older than their
+// registration, and against shares that dead ones keep.
+#[test]
+fn processes_that_an_older_copy_lacks_are_kept_until_they_have_had_time_to_register() {
+    let mut directory = directory();
+    directory.apply(member("front-1"), at(0));
+    directory.apply(member("front-2"), at(0));
+    directory.record_restore(at(0));
+    directory.replace(reading(&["a", "b"]), at(0));
+    assert!(directory.members().all(|m| m.state == MemberState::Live));
+    assert_eq!(directory.next_tick(), Some(at(6_000)));
+    directory.apply(member("front-1"), at(4_000));
+    directory.take_changes();
+    assert!(directory.tick(at(6_000)));
+    assert_eq!(gone_members(&mut directory), ["front-2"]);
+    let live = directory.members().filter(|m| m.state == MemberState::Live);
+    assert_eq!(live.count(), 1);
+}
+
+// Guards against content that crashes leaves again because the copy lacks the reports.
+#[test]
+fn crashes_that_an_older_copy_lacks_are_not_forgotten() {
+    let report = CrashReport {
+        content: 7,
+        leaf: CrashedLeaf {
+            name: "a".to_owned(),
+            born: 1,
+        },
+        alone: false,
+    };
+    for restored in [false, true] {
+        let mut directory = directory();
+        directory.apply(Change::Crashed(report.clone()), at(0));
+        if restored {
+            directory.record_restore(at(0));
+        }
+        directory.replace(reading(&["a", "b"]), at(10));
+        assert_eq!(directory.crashes().reports().count(), usize::from(restored));
+        directory.replace(reading(&["a", "b"]), at(6_000));
+        assert_eq!(directory.crashes().reports().count(), 0);
+    }
+}
