--- a/crates/guavacourse/src/edge/claims.rs
+++ b/crates/guavacourse/src/edge/claims.rs
@@ -4,6 +4,7 @@
 use super::platform::{PlatformError, Store};
 use crate::modules::{
     claims::{Claim, ClaimRecord, ClaimStep, StoreReply},
+    era::{ERA_KEY, EraRecord},
     outcome::ActionOutcome,
 };
 
@@ -71,6 +72,36 @@
     }
 }
 
+/// Returns the record of the era that the fleet has acknowledged, after writing it if the
+/// store has entered `era` since.
+///
+/// # Errors
+///
+/// Returns why the record cannot be read or written.
+pub(crate) async fn acknowledge(
+    store: &impl Store,
+    era: u64,
+    now: u64,
+) -> Result<EraRecord, PlatformError> {
+    let stored = store.get(ERA_KEY).await?;
+    let version = stored.as_ref().map_or(0, |stored| stored.version);
+    // A record that cannot be read counts as one of an era that has passed.
+    let found = stored.map(|stored| serde_json::from_slice(&stored.value).unwrap_or_default());
+    let Some(record) = EraRecord::acknowledge(found, era, now) else {
+        return Ok(found.unwrap_or_default());
+    };
+    tracing::warn!(
+        ?found,
+        era,
+        noticed = record.noticed,
+        "the store is in a new era"
+    );
+    let value = serde_json::to_vec(&record);
+    let value = value.map_err(|error| PlatformError::Protocol(error.to_string()))?;
+    // On a conflict the next request reads what another process has written.
+    store.put(ERA_KEY, value, version).await.map(|_| record)
+}
+
 async fn create(
     store: &impl Store,
     key: &str,
--- a/crates/guavacourse/src/edge/clock.rs
+++ b/crates/guavacourse/src/edge/clock.rs
@@ -1,6 +1,6 @@
 //! The monotonic clock of a process, whose times are passed to the core.
 
-use std::time::Instant;
+use std::time::{Instant, SystemTime};
 
 use crate::modules::time::{Time, micros};
 
@@ -27,3 +27,12 @@
         self.0.checked_add(std::time::Duration::from_micros(time.0))
     }
 }
+
+/// Returns the milliseconds since the Unix epoch, for times that processes share; 0 if the
+/// machine's clock is before it.
+pub(crate) fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0, |since| {
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    })
+}
--- a/crates/guavacourse/src/edge/entry/server.rs
+++ b/crates/guavacourse/src/edge/entry/server.rs
@@ -2,7 +2,7 @@
 //! their listeners.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     net::{SocketAddr, TcpListener as StdListener},
     rc::Rc,
     sync::{
@@ -36,7 +36,7 @@
         http::{self, Limits},
         metrics::{EntryMetrics, Metrics},
         node::{NodeServer, serve_fleet},
-        platform::HttpStore,
+        platform::EraStore,
         pool::Pool,
         tasks::Tasks,
         worker::{StopSignal, Worker},
@@ -109,6 +109,7 @@
             incarnation,
             settings.ledger.clone(),
         );
+        let store = EraStore::new(settings.node.platform);
         let mut workers = Vec::new();
         for number in 0..settings.entry.threads.max(1) {
             let params = ThreadParams {
@@ -121,7 +122,8 @@
                 data_centre: settings.node.data_centre.clone(),
                 peer: control.peer(),
                 tickets: tickets.clone(),
-                store: HttpStore::new(settings.node.platform),
+                store: store.clone(),
+                retention: settings.ledger.retention,
             };
             let name = format!("traffic-{number}");
             workers.push(Worker::spawn(name, |executor, stop| {
@@ -184,7 +186,8 @@
     data_centre: String,
     peer: crate::edge::control::PeerHandle,
     tickets: TicketLedger,
-    store: HttpStore,
+    store: EraStore,
+    retention: Duration,
 }
 
 fn listen(addr: SocketAddr) -> anyhow::Result<StdListener> {
@@ -212,6 +215,8 @@
         balancer: RefCell::new(LoadBalancer::new(params.data_centre).with_thread(params.number)),
         tickets: params.tickets,
         store: params.store,
+        acknowledged: Cell::default(),
+        retention: params.retention,
         handovers: Pool::new(&executor, |node| {
             node.handover_request().send().pipeline.get_handover()
         }),
--- a/crates/guavacourse/src/edge/entry/state.rs
+++ b/crates/guavacourse/src/edge/entry/state.rs
@@ -2,7 +2,7 @@
 //! requests of one thread share.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     rc::Rc,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
@@ -17,13 +17,14 @@
 };
 use crate::{
     edge::{
-        clock::Clock, metrics::EntryMetrics, platform::HttpStore, pool::Pool, published::Published,
+        clock::Clock, metrics::EntryMetrics, platform::EraStore, pool::Pool, published::Published,
         tasks::Tasks,
     },
     generated::wire_capnp::handover,
     modules::{
         answer::{Answer, Refusal},
         burn::Burn,
+        era::EraRecord,
         load_balancer::LoadBalancer,
         query::QueryRequest,
         recent::RecentRequests,
@@ -85,7 +86,11 @@
     /// Tickets of the entry.
     pub(crate) tickets: TicketLedger,
     /// The platform's store, for claims of callers' own idempotency keys.
-    pub(crate) store: HttpStore,
+    pub(crate) store: EraStore,
+    /// Era of the store that the fleet has acknowledged, once that was read.
+    pub(crate) acknowledged: Cell<EraRecord>,
+    /// Time for which a claim is needed after its action ended.
+    pub(crate) retention: Duration,
     /// Connections to other entries, to hand over actions and fetch tickets.
     pub(crate) handovers: Pool<handover::Client>,
     /// Running actions.
--- a/crates/guavacourse/src/edge/platform.rs
+++ b/crates/guavacourse/src/edge/platform.rs
@@ -4,7 +4,14 @@
 //! [`HttpStore`] and [`HttpInstanceList`] implement them over HTTP as
 //! `docs/PROTOCOLS.md` specifies.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 use http_types::{Method, Request, Response, StatusCode, Url, headers};
 use serde::Deserialize;
@@ -185,15 +192,79 @@
         }
     }
 
+    fn calls(self) -> Calls<'static> {
+        Calls {
+            store: self,
+            era: None,
+        }
+    }
+}
+
+/// Value of a known era before the first answer.
+const NOT_ANSWERED: u64 = u64::MAX;
+
+/// The store over HTTP, with the era that its answers name. Clones share the era.
+#[derive(Clone, Debug)]
+pub struct EraStore {
+    store: HttpStore,
+    era: Arc<AtomicU64>,
+}
+
+impl EraStore {
+    /// Creates a client of the store at `address`, for calls that a caller waits for.
+    #[must_use]
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            store: HttpStore::new(address),
+            era: Arc::new(AtomicU64::new(NOT_ANSWERED)),
+        }
+    }
+
+    /// Returns the highest era that an answer has named, 0 if answers name none; `None`
+    /// before the first answer.
+    #[must_use]
+    pub fn era(&self) -> Option<u64> {
+        let era = self.era.load(Ordering::Relaxed);
+        (era != NOT_ANSWERED).then_some(era)
+    }
+
+    fn calls(&self) -> Calls<'_> {
+        Calls {
+            store: self.store,
+            era: Some(&self.era),
+        }
+    }
+}
+
+/// Calls of a client of the store.
+struct Calls<'a> {
+    store: HttpStore,
+    /// Where the era of the answers is recorded.
+    era: Option<&'a AtomicU64>,
+}
+
+impl Calls<'_> {
     async fn send(&self, request: Request, timeout: Duration) -> Result<Response, PlatformError> {
-        send(self.address, request, timeout).await
+        let response = send(self.store.address, request, timeout).await?;
+        let header = response.header("era");
+        let named = header.and_then(|values| values.as_str().parse().ok());
+        if let Some(era) = self.era {
+            let named: u64 = named.unwrap_or_default();
+            let highest = |known: u64| match known {
+                NOT_ANSWERED => Some(named),
+                known => Some(known.max(named)),
+            };
+            // The closure always returns a value, so that the update never fails.
+            let _ = era.fetch_update(Ordering::Relaxed, Ordering::Relaxed, highest);
+        }
+        Ok(response)
     }
 }
 
-impl Store for HttpStore {
+impl Store for Calls<'_> {
     async fn get(&self, key: &str) -> Result<Option<VersionedValue>, PlatformError> {
-        let request = request(self.address, Method::Get, &format!("/kv/{key}"))?;
-        let mut response = self.send(request, self.timeout).await?;
+        let request = request(self.store.address, Method::Get, &format!("/kv/{key}"))?;
+        let mut response = self.send(request, self.store.timeout).await?;
         match response.status() {
             StatusCode::Ok => Ok(Some(read_value(&mut response).await?)),
             StatusCode::NotFound => Ok(None),
@@ -208,8 +279,8 @@
         wait: Duration,
     ) -> Result<WatchResult, PlatformError> {
         let path = format!("/kv/{key}?after={after}&wait-ms={}", wait.as_millis());
-        let request = request(self.address, Method::Get, &path)?;
-        let mut response = self.send(request, wait + self.timeout).await?;
+        let request = request(self.store.address, Method::Get, &path)?;
+        let mut response = self.send(request, wait + self.store.timeout).await?;
         match response.status() {
             StatusCode::Ok => Ok(WatchResult::Changed(read_value(&mut response).await?)),
             StatusCode::NotFound => Ok(WatchResult::Absent),
@@ -219,10 +290,10 @@
     }
 
     async fn put(&self, key: &str, value: Vec<u8>, if_version: u64) -> Result<u64, PlatformError> {
-        let mut request = request(self.address, Method::Put, &format!("/kv/{key}"))?;
+        let mut request = request(self.store.address, Method::Put, &format!("/kv/{key}"))?;
         request.insert_header("if-version", if_version.to_string());
         request.set_body(value);
-        let response = self.send(request, self.timeout).await?;
+        let response = self.send(request, self.store.timeout).await?;
         match response.status() {
             StatusCode::Ok => version(&response),
             _ => Err(status_error(&response)),
@@ -230,9 +301,9 @@
     }
 
     async fn delete(&self, key: &str, if_version: u64) -> Result<(), PlatformError> {
-        let mut request = request(self.address, Method::Delete, &format!("/kv/{key}"))?;
+        let mut request = request(self.store.address, Method::Delete, &format!("/kv/{key}"))?;
         request.insert_header("if-version", if_version.to_string());
-        let response = self.send(request, self.timeout).await?;
+        let response = self.send(request, self.store.timeout).await?;
         match response.status() {
             StatusCode::Ok => Ok(()),
             _ => Err(status_error(&response)),
@@ -240,6 +311,52 @@
     }
 }
 
+impl Store for HttpStore {
+    async fn get(&self, key: &str) -> Result<Option<VersionedValue>, PlatformError> {
+        self.calls().get(key).await
+    }
+
+    async fn watch(
+        &self,
+        key: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Result<WatchResult, PlatformError> {
+        self.calls().watch(key, after, wait).await
+    }
+
+    async fn put(&self, key: &str, value: Vec<u8>, if_version: u64) -> Result<u64, PlatformError> {
+        self.calls().put(key, value, if_version).await
+    }
+
+    async fn delete(&self, key: &str, if_version: u64) -> Result<(), PlatformError> {
+        self.calls().delete(key, if_version).await
+    }
+}
+
+impl Store for EraStore {
+    async fn get(&self, key: &str) -> Result<Option<VersionedValue>, PlatformError> {
+        self.calls().get(key).await
+    }
+
+    async fn watch(
+        &self,
+        key: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Result<WatchResult, PlatformError> {
+        self.calls().watch(key, after, wait).await
+    }
+
+    async fn put(&self, key: &str, value: Vec<u8>, if_version: u64) -> Result<u64, PlatformError> {
+        self.calls().put(key, value, if_version).await
+    }
+
+    async fn delete(&self, key: &str, if_version: u64) -> Result<(), PlatformError> {
+        self.calls().delete(key, if_version).await
+    }
+}
+
 /// The instance list over HTTP.
 #[derive(Clone, Copy, Debug)]
 pub struct HttpInstanceList {
--- a/crates/guavacourse/src/modules/era.rs
+++ b/crates/guavacourse/src/modules/era.rs
@@ -4,8 +4,12 @@
 //! by one; revisions and lease ids go back and are given out again. Everything that was
 //! read or granted belongs to the era of the answer that it came with.
 
+mod lost_claims;
+
 use serde::{Deserialize, Serialize};
 
+pub use self::lost_claims::{ERA_KEY, EraRecord};
+
 /// A position in the history of the registry: later eras come after earlier ones,
 /// whatever their revisions.
 #[derive(
--- a/crates/guavacourse/src/modules/outcome.rs
+++ b/crates/guavacourse/src/modules/outcome.rs
@@ -83,6 +83,9 @@
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum UnknownCause {
+    /// The store was restored from an older copy, which may have lost the claim of an
+    /// earlier try.
+    ClaimLost,
     /// The ticket is older than the time for which outcomes are kept.
     Expired,
     /// The request went to the instance that minted the ticket; its reply was
@@ -128,7 +131,7 @@
             Self::IssuerGone => Some(NotRunCause::IssuerGone),
             Self::IssuerUnreachable => Some(NotRunCause::IssuerUnreachable),
             Self::StoreDown => Some(NotRunCause::StoreDown),
-            Self::HandoverLost | Self::StillRunning | Self::Call(_) => None,
+            Self::ClaimLost | Self::HandoverLost | Self::StillRunning | Self::Call(_) => None,
         };
         match not_run {
             Some(cause) if first => ActionOutcome::NotRun(cause),
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -21,4 +21,6 @@
 };
 pub use link::{LinkFaults, LinkProxy, Stall};
 pub use outage::Outage;
-pub use platform::{Counters, Platform, PlatformFaults, PlatformSettings, PlatformView};
+pub use platform::{
+    Counters, Platform, PlatformCopy, PlatformFaults, PlatformSettings, PlatformView,
+};
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -9,5 +9,5 @@
 mod view;
 
 pub use faults::PlatformFaults;
-pub use server::{Counters, Platform, PlatformSettings};
+pub use server::{Counters, Platform, PlatformCopy, PlatformSettings};
 pub use view::PlatformView;
--- a/crates/standins/src/platform/routes.rs
+++ b/crates/standins/src/platform/routes.rs
@@ -31,15 +31,20 @@
 }
 
 /// Answers one request. Never returns if a fault closes the connection instead.
-pub(super) async fn answer(
-    shared: Arc<Shared>,
-    id: ConnectionId,
-    mut request: Request,
-) -> Response {
+pub(super) async fn answer(shared: Arc<Shared>, id: ConnectionId, request: Request) -> Response {
+    let mut response = carry_out(&shared, id, request).await;
+    let era = shared.lock().store.era;
+    if era > 0 {
+        response.insert_header("era", era.to_string());
+    }
+    response
+}
+
+async fn carry_out(shared: &Arc<Shared>, id: ConnectionId, mut request: Request) -> Response {
     let path = request.url().path().to_owned();
     let segments: Vec<&str> = path.trim_start_matches('/').split('/').collect();
     if segments == ["faults"] {
-        return set_faults(&shared, id, &mut request).await;
+        return set_faults(shared, id, &mut request).await;
     }
     let faults = shared.lock().faults.clone();
     if faults.down != Outage::None {
@@ -52,13 +57,13 @@
     let method = request.method();
     match (method, segments.as_slice()) {
         (Method::Get, ["counters"]) => json_response(200, &shared.lock().counters),
-        (Method::Get, ["instances"]) => list(&shared, &request),
-        (Method::Put, ["instances", _, _]) => register(&shared, &mut request).await,
-        (Method::Get, ["kv", ..]) => read(&shared, &store_key(&path), &request).await,
+        (Method::Get, ["instances"]) => list(shared, &request),
+        (Method::Put, ["instances", _, _]) => register(shared, &mut request).await,
+        (Method::Get, ["kv", ..]) => read(shared, &store_key(&path), &request).await,
         (Method::Put | Method::Delete, ["kv", ..])
         | (Method::Post | Method::Delete, ["leases", ..]) => {
-            let response = write(&shared, &path, &segments, &mut request).await;
-            if response.status().is_success() && take_lost_reply(&shared) {
+            let response = write(shared, &path, &segments, &mut request).await;
+            if response.status().is_success() && take_lost_reply(shared) {
                 shared.listener.close(id);
                 return future::pending().await;
             }
--- a/crates/standins/src/platform/server.rs
+++ b/crates/standins/src/platform/server.rs
@@ -20,7 +20,7 @@
     instances::{Instances, Listing},
     rate::RateLimiter,
     routes,
-    store::Store,
+    store::{Content, Store},
     view::PlatformView,
 };
 use crate::{
@@ -175,6 +175,10 @@
     }
 }
 
+/// A copy of the content of the store.
+#[derive(Clone, Debug)]
+pub struct PlatformCopy(Content);
+
 /// A running simulated platform. Dropping it stops and joins its thread.
 #[derive(Debug)]
 pub struct Platform {
@@ -268,6 +272,23 @@
         self.shared.lock().instances.redirect(address, link);
     }
 
+    /// Names an era in all answers from now on.
+    pub fn send_era(&self) {
+        self.shared.lock().store.era = 1;
+    }
+
+    /// Copies the content of the store.
+    #[must_use]
+    pub fn copy(&self) -> PlatformCopy {
+        PlatformCopy(self.shared.lock().store.content())
+    }
+
+    /// Goes back to an older copy of the store, and begins the next era. The platform is
+    /// away before that if `faults` say so.
+    pub fn restore(&self, copy: &PlatformCopy) {
+        self.shared.lock().store.restore(copy.0.clone());
+    }
+
     /// Revokes every lease, as if each had expired.
     pub fn expire_leases(&self) {
         self.shared.lock().store.expire(Time::MAX);
--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -23,6 +23,15 @@
     LeaseExpired,
 }
 
+/// What a store holds at one moment.
+#[derive(Clone, Debug)]
+pub(super) struct Content {
+    version: u64,
+    keys: BTreeMap<String, StoredValue>,
+    leases: BTreeMap<u64, Lease>,
+    next_lease: u64,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Lease {
     ttl: Duration,
@@ -37,6 +46,8 @@
     leases: BTreeMap<u64, Lease>,
     next_lease: u64,
     watchers: Map<String, Vec<Sender<()>>>,
+    /// Era that the answers name; 0 if they name none.
+    pub(super) era: u64,
 }
 
 impl Store {
@@ -44,6 +55,26 @@
         self.keys.get(key)
     }
 
+    /// Returns a copy of the content.
+    pub(super) fn content(&self) -> Content {
+        Content {
+            version: self.version,
+            keys: self.keys.clone(),
+            leases: self.leases.clone(),
+            next_lease: self.next_lease,
+        }
+    }
+
+    /// Goes back to an older copy, and begins the next era.
+    pub(super) fn restore(&mut self, content: Content) {
+        self.version = content.version;
+        self.keys = content.keys;
+        self.leases = content.leases;
+        self.next_lease = content.next_lease;
+        self.era += 1;
+        self.watchers.clear();
+    }
+
     /// Returns a channel that closes at the next change of `key`.
     pub(super) fn watch(&mut self, key: &str) -> Receiver<()> {
         let (sender, receiver) = bounded(1);
