feat(era): keep claims and the head of the configuration through a restored store

A request whose key is not marked as the first try runs nothing while claims may have been lost. The fleet's record of the era in the store tells processes that start later. A starting process asks peers for their configuration before it adopts that of a store with eras.

--- a/crates/daemons/tests/actions.rs
+++ b/crates/daemons/tests/actions.rs
@@ -4,6 +4,10 @@
 
 use std::{thread, time::Duration};
 
+use guavacourse::{
+    configs::{node::NodeConfig, settings::Settings},
+    edge::entry::EntryServer,
+};
 use guavacourse_daemons::{
     client::{Answer, Header},
     deployment::{Deployment, Plan},
@@ -224,3 +228,75 @@
     assert_eq!(book(&deployment, 0, &ticket).status, 200);
     deployment.stop();
 }
+
+/// Sends a booking under a key, which is not marked as the first try.
+fn book_key(deployment: &Deployment, entry: usize, key: &str) -> Answer {
+    let headers = [("idempotency-key", key), ("key", "7")];
+    post(deployment, entry, "/actions/book", &headers)
+}
+
+// Guards against a second run of an action whose claim was lost: the store came back from
+// a copy that is older than the claim, so that the key looks unused.
+#[test]
+fn a_key_whose_claim_was_lost_runs_nothing() {
+    for away in [false, true] {
+        let mut deployment = deployment();
+        deployment.platform.send_era();
+        let copy = deployment.platform.copy();
+        assert_eq!(book_key(&deployment, 0, "slip-20").status, 200);
+        if away {
+            take_store_down(&deployment);
+            let refused = book_key(&deployment, 0, "slip-21");
+            assert_eq!(refused.body["reason"], "store-down", "{refused:?}");
+        }
+        deployment.platform.restore(&copy);
+        deployment.platform.set_faults(PlatformFaults::default());
+        for entry in 0..INSTANCES {
+            let lost = book_key(&deployment, entry, "slip-20");
+            assert_eq!(lost.body["reason"], "claim-lost", "{lost:?}");
+        }
+        // A process that starts later learns of the restore from the store.
+        let settings = Settings {
+            node: NodeConfig {
+                instance: "instance-9".to_owned(),
+                data_centre: "dc0".to_owned(),
+                platform: deployment.platform.address(),
+                seeds: vec![deployment.entries[0].fleet_address()],
+                ..NodeConfig::default()
+            },
+            ..Settings::default()
+        };
+        let late = EntryServer::start(settings).expect("an entry");
+        deployment.entries.push(late);
+        while book_key(&deployment, INSTANCES, "slip-20").status == 503 {
+            thread::sleep(Duration::from_millis(20));
+        }
+        for _ in 0..2 {
+            let lost = book_key(&deployment, INSTANCES, "slip-20");
+            assert_eq!(lost.body["reason"], "claim-lost", "{lost:?}");
+        }
+        assert_eq!(deployment.leaves.runs("key:slip-20"), 1);
+        let first = [
+            ("idempotency-key", "slip-22"),
+            ("key", "7"),
+            ("first-try", "true"),
+        ];
+        let answer = post(&deployment, 1, "/actions/book", &first);
+        assert_eq!(answer.status, 200, "{answer:?}");
+        assert_eq!(book_key(&deployment, 2, "slip-22").body, answer.body);
+        assert_eq!(deployment.leaves.runs("key:slip-22"), 1);
+        deployment.stop();
+    }
+}
+
+// Guards against keys that stay unusable where no copy was restored.
+#[test]
+fn keys_are_claimed_as_before_in_the_first_era() {
+    let deployment = deployment();
+    deployment.platform.send_era();
+    for entry in 0..INSTANCES {
+        assert_eq!(book_key(&deployment, entry, "slip-23").status, 200);
+    }
+    assert_eq!(deployment.leaves.runs("key:slip-23"), 1);
+    deployment.stop();
+}
--- a/crates/daemons/tests/configuration.rs
+++ b/crates/daemons/tests/configuration.rs
@@ -302,3 +302,34 @@
     assert!(matches!(outcome, CommitOutcome::Accepted(..)), "{outcome}");
     fleet.wait_revision(5);
 }
+
+// Guards against a configuration that comes back with an older copy of the store, in
+// processes that run and in one that starts.
+#[test]
+fn an_older_copy_of_the_store_takes_no_revision_back() {
+    let fleet = Fleet::start(3);
+    fleet.platform.send_era();
+    fleet.apply(0, 1);
+    fleet.wait_revision(1);
+    let copy = fleet.platform.copy();
+    fleet.apply(1, 2);
+    fleet.wait_revision(2);
+    fleet.platform.restore(&copy);
+    let seeds = vec![fleet.nodes[0].address];
+    let late = start_node(9, fleet.platform.address(), seeds);
+    wait_until("the node has a configuration", || {
+        late.revision() > 0 && fleet.nodes.iter().all(|node| node.revision() == 2)
+    });
+    assert_eq!(late.revision(), 2);
+    let above = Proposal {
+        above: 2,
+        ..proposal(1, 3)
+    };
+    let store = HttpStore::background(fleet.platform.address());
+    let outcome = smol::block_on(operator::apply(&store, above));
+    assert!(matches!(outcome, CommitOutcome::Accepted(..)), "{outcome}");
+    wait_until("the next revision is in force", || {
+        let nodes = fleet.nodes.iter().chain([&late]);
+        nodes.map(Node::revision).all(|revision| revision == 3)
+    });
+}
--- a/crates/guavacourse/src/edge/control/state.rs
+++ b/crates/guavacourse/src/edge/control/state.rs
@@ -12,7 +12,7 @@
     configs::node::NodeConfig,
     edge::{
         clock::Clock,
-        platform::{HttpInstanceList, HttpStore},
+        platform::{EraStore, HttpInstanceList},
         published::Published,
     },
     modules::{
@@ -198,7 +198,7 @@
 pub(super) struct Shared {
     state: Rc<RefCell<State>>,
     pub(super) executor: Rc<LocalExecutor<'static>>,
-    pub(super) store: HttpStore,
+    pub(super) store: EraStore,
     pub(super) list: HttpInstanceList,
     tasks: Rc<RefCell<Vec<Task<()>>>>,
 }
@@ -210,7 +210,7 @@
         Self {
             state: Rc::new(RefCell::new(state)),
             executor,
-            store: HttpStore::background(platform),
+            store: EraStore::background(platform),
             list: HttpInstanceList::new(platform),
             tasks: Rc::default(),
         }
--- a/crates/guavacourse/src/edge/control/store.rs
+++ b/crates/guavacourse/src/edge/control/store.rs
@@ -56,6 +56,7 @@
         stamp: Stamp::default(),
         backoff: MIN_BACKOFF,
         last_read: Time::default(),
+        era: None,
     };
     loop {
         follower.step().await;
@@ -67,10 +68,11 @@
 async fn bootstrap(shared: &Shared) {
     let store = async {
         while !shared.read(|s| s.bootstrapped) {
-            if let Ok(WatchResult::Changed(value)) = watch(shared, 0, WATCH_WAIT).await
-                && adopt_head(shared, &value).await.is_ok()
-            {
-                return;
+            if let Ok(WatchResult::Changed(value)) = watch(shared, 0, WATCH_WAIT).await {
+                ask_before_adoption(shared).await;
+                if adopt_head(shared, &value).await.is_ok() {
+                    return;
+                }
             }
             Timer::after(jittered(MIN_BACKOFF)).await;
         }
@@ -84,6 +86,20 @@
     store.or(peers).await;
 }
 
+/// Adopts the configuration of peers, if there are any, before that of a store which has
+/// eras: it may have come back from an older copy, and revoked entries must not take effect
+/// again.
+async fn ask_before_adoption(shared: &Shared) {
+    if shared.store.era().is_none_or(|era| era == 0) {
+        return;
+    }
+    let timeout = async {
+        Timer::after(BOOTSTRAP_PERIOD).await;
+        tracing::warn!("no peer has told its configuration in time; that of the store is used");
+    };
+    peers::bootstrap(shared).or(timeout).await;
+}
+
 /// Follows the head.
 struct Follower {
     shared: Shared,
@@ -95,6 +111,8 @@
     backoff: Duration,
     /// When the head was last read without a watch.
     last_read: Time,
+    /// Era of the store to which the version belongs.
+    era: Option<u64>,
 }
 
 impl Follower {
@@ -103,6 +121,11 @@
     /// versions, and a watch would wait for the old version to be passed.
     async fn step(&mut self) {
         let now = self.shared.read(|s| s.clock.now());
+        let era = self.shared.store.era();
+        if era != self.era {
+            // Versions are given out again in another era.
+            (self.era, self.version) = (era, 0);
+        }
         if now.since(self.last_read) >= self.head_period() {
             self.last_read = now;
             let result = read(&self.shared).await;
--- a/crates/guavacourse/src/edge/platform.rs
+++ b/crates/guavacourse/src/edge/platform.rs
@@ -214,10 +214,13 @@
     /// Creates a client of the store at `address`, for calls that a caller waits for.
     #[must_use]
     pub fn new(address: SocketAddr) -> Self {
-        Self {
-            store: HttpStore::new(address),
-            era: Arc::new(AtomicU64::new(NOT_ANSWERED)),
-        }
+        HttpStore::new(address).into()
+    }
+
+    /// Creates a client with a longer timeout, for calls in the background.
+    #[must_use]
+    pub fn background(address: SocketAddr) -> Self {
+        HttpStore::background(address).into()
     }
 
     /// Returns the highest era that an answer has named, 0 if answers name none; `None`
@@ -236,6 +239,15 @@
     }
 }
 
+impl From<HttpStore> for EraStore {
+    fn from(store: HttpStore) -> Self {
+        Self {
+            store,
+            era: Arc::new(AtomicU64::new(NOT_ANSWERED)),
+        }
+    }
+}
+
 /// Calls of a client of the store.
 struct Calls<'a> {
     store: HttpStore,
--- a/crates/guavacourse/tests/era.rs
+++ b/crates/guavacourse/tests/era.rs
@@ -1,6 +1,8 @@
 //! What an era of the registry allows.
 
-use guavacourse::modules::era::{Lease, Position};
+use std::time::Duration;
+
+use guavacourse::modules::era::{EraRecord, Lease, Position};
 
 fn position(era: u64, revision: u64) -> Position {
     Position { era, revision }
@@ -33,3 +35,34 @@
     assert!(!Lease::default().is_held_in(0));
     assert!(Lease { id: 4, era: 0 }.is_held_in(0));
 }
+
+const RETENTION: Duration = Duration::from_mins(10);
+
+/// A moment in milliseconds since the Unix epoch.
+const NOW: u64 = 1_700_000_000_000;
+
+// Guards against a second run of actions whose claims the copy lacks, and against keys
+// that are never accepted again.
+#[test]
+fn claims_may_be_lost_for_the_retention_after_a_rise() {
+    let found = EraRecord { era: 1, noticed: 0 };
+    assert_eq!(EraRecord::acknowledge(Some(found), 1, NOW), None);
+    assert!(!found.claims_lost(NOW, RETENTION));
+    let risen = EraRecord::acknowledge(Some(found), 2, NOW).expect("a new record");
+    assert_eq!((risen.era, risen.noticed), (2, NOW));
+    assert!(risen.claims_lost(NOW, RETENTION));
+    assert!(risen.claims_lost(NOW + 600_000, RETENTION));
+    assert!(!risen.claims_lost(NOW + 660_000, RETENTION));
+    assert_eq!(EraRecord::acknowledge(Some(risen), 2, NOW + 1), None);
+    let again = EraRecord::acknowledge(Some(risen), 3, NOW + 660_000).expect("a new record");
+    assert!(again.claims_lost(NOW + 660_000, RETENTION));
+}
+
+// Guards against a copy that is older than the record itself.
+#[test]
+fn a_missing_record_means_that_claims_may_be_lost_except_in_the_first_era() {
+    let first = EraRecord::acknowledge(None, 1, NOW).expect("a new record");
+    assert!(!first.claims_lost(NOW, RETENTION));
+    let later = EraRecord::acknowledge(None, 2, NOW).expect("a new record");
+    assert!(later.claims_lost(NOW, RETENTION));
+}
