--- a/crates/guavacourse/src/edge/http/client.rs
+++ b/crates/guavacourse/src/edge/http/client.rs
@@ -13,7 +13,7 @@
 use thiserror::Error;
 
 use super::{
-    head::{Framing, MAX_HEAD_BYTES, MessageError, MessageKind, body, read_body, read_head},
+    head::{Framing, MAX_HEAD_BYTES, MessageError, MessageKind, read_body, read_head},
     message::{self, ResponseHead},
     receive_memory::ReceiveMemory,
 };
@@ -139,25 +139,25 @@
         // Avoids a read before the response has arrived.
         let socket: Arc<Async<StdStream>> = self.stream.clone().into();
         socket.readable().await.map_err(ExchangeError::Closed)?;
+        let mut share = self.memory.as_ref().map(ReceiveMemory::share);
         let head = read_head(
             &mut self.stream,
             &mut self.buf,
             MessageKind::Response,
             MAX_HEAD_BYTES,
+            &mut share,
         )
         .await
         .map_err(exchange_error)?;
         if head.framing == Framing::CloseDelimited && !self.allow_close_delimited {
             return Err(exchange_error(MessageError::LengthRequired));
         }
-        let mut share = self.memory.as_ref().map(ReceiveMemory::share);
-        let reserve = |size| share.as_mut().map_or(Ok(()), |share| share.grow(size));
         let read = read_body(
             &mut self.stream,
             &mut self.buf,
             head,
             MAX_BODY_BYTES,
-            reserve,
+            &mut share,
         );
         let end = read.await.map_err(|error| {
             // The connection may stay open for a while, until the server has closed it.
@@ -168,7 +168,7 @@
         self.buf.truncate(end);
         let message = std::mem::take(&mut self.buf);
         let parsed = message::response_head(&message, head).map_err(exchange_error)?;
-        let body = body(&message, head).map_err(exchange_error)?;
+        let body = message::body(message, head);
         self.last_used = Instant::now();
         self.keep_alive = parsed.keep_alive().or(self.keep_alive);
         Ok((parsed, body))
--- a/crates/guavacourse/src/edge/http/head.rs
+++ b/crates/guavacourse/src/edge/http/head.rs
@@ -1,7 +1,7 @@
 //! Reads whole HTTP/1.1 messages and rejects ambiguous ones. Headers are parsed
 //! by `httparse`.
 
-use std::{future::poll_fn, io, ops::Range, pin::Pin, task::Poll};
+use std::{future::poll_fn, io, pin::Pin, task::Poll};
 
 use futures_lite::AsyncRead;
 use thiserror::Error;
@@ -15,6 +15,10 @@
 /// Maximum number of bytes per read from the socket.
 const READ_BYTES: usize = 2 * 1024;
 
+/// Fraction by which a buffer grows: less than by doubling, so that a buffer takes little
+/// more than the bytes in it.
+const GROWTH_DIVISOR: usize = 4;
+
 /// Why a message was rejected. The text names the error and the remedy.
 #[derive(Debug, Error)]
 pub enum MessageError {
@@ -51,6 +55,9 @@
     /// The messages that are being read together take too much memory.
     #[error("the messages being read take over {0} bytes; send smaller ones")]
     NoMemory(usize),
+    /// Other callers need the memory or the connection, or use up the memory.
+    #[error("the process has no room for the request, which has not run; repeat it later")]
+    Crowded,
     /// The socket failed.
     #[error("the connection failed: {0}")]
     Io(#[from] io::Error),
@@ -89,13 +96,27 @@
     pub close: bool,
 }
 
+/// Accounts for the memory of the message that is being read.
+pub(super) trait Meter {
+    /// Records that `moved` bytes have arrived, and that the buffer takes `held` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that rejects the message.
+    fn record(&mut self, moved: usize, held: usize) -> Result<(), MessageError>;
+
+    /// Returns once more bytes may be read.
+    async fn wait_room(&self) {}
+}
+
 /// Reads from `stream` until `buf` holds a whole head, and checks it. A head of
-/// over `limit` bytes is rejected.
+/// over `limit` bytes is rejected, and one for which `meter` finds no room.
 pub(super) async fn read_head(
     stream: &mut (impl AsyncRead + Unpin),
     buf: &mut Vec<u8>,
     kind: MessageKind,
     limit: usize,
+    meter: &mut impl Meter,
 ) -> Result<Head, MessageError> {
     let mut seen = 0;
     loop {
@@ -106,7 +127,7 @@
         }
         seen = buf.len();
         let empty = buf.is_empty();
-        if read_some(stream, buf).await? == 0 {
+        if read_metered(stream, buf, meter).await? == 0 {
             return Err(if empty {
                 MessageError::ClosedIdle
             } else {
@@ -116,102 +137,133 @@
     }
 }
 
-/// Reads from `stream` until `buf` holds the whole message of `head`, and
-/// returns where in `buf` it ends. A body that announces over `limit` bytes, or
-/// has not ended after twice as many, is rejected. `reserve` is called with the size of
-/// the message so far, and may reject it.
+/// Reads from `stream` until `buf` holds the whole message of `head`, and returns where
+/// in `buf` it ends. Chunks are decoded as they arrive: their framing is not kept. A body
+/// that announces over `limit` bytes, or has not ended after twice as many, is rejected,
+/// and one for which `meter` finds no room.
 pub(super) async fn read_body(
     stream: &mut (impl AsyncRead + Unpin),
     buf: &mut Vec<u8>,
     head: Head,
     limit: usize,
-    mut reserve: impl FnMut(usize) -> Result<(), MessageError>,
+    meter: &mut impl Meter,
 ) -> Result<usize, MessageError> {
-    let mut chunks = Chunks::default();
+    let mut chunks = Chunks::new(head.size);
+    let mut received = buf.len().saturating_sub(head.size);
     loop {
-        let received = buf.len().saturating_sub(head.size);
         let end = match head.framing {
             Framing::Length(length) if length > limit => {
                 return Err(MessageError::BodyTooLong(length, limit));
             }
-            Framing::Length(length) => (received >= length).then_some(length),
-            Framing::Chunked => {
-                while chunks.next(&buf[head.size..])?.is_some() {}
-                chunks.end()
-            }
+            Framing::Length(length) => (received >= length).then_some(head.size + length),
+            Framing::Chunked => chunks.decode(buf)?,
             Framing::CloseDelimited => None,
         };
         if let Some(end) = end {
-            return Ok(head.size + end);
+            return Ok(end);
         }
         if received > limit.saturating_mul(2) {
             return Err(MessageError::BodyTooLong(received, limit));
         }
-        reserve(buf.len())?;
-        if read_some(stream, buf).await? == 0 {
-            return match head.framing {
-                Framing::CloseDelimited => Ok(buf.len()),
-                _ => Err(MessageError::Truncated),
-            };
+        match read_metered(stream, buf, meter).await? {
+            0 if head.framing == Framing::CloseDelimited => return Ok(buf.len()),
+            0 => return Err(MessageError::Truncated),
+            size => received += size,
         }
     }
 }
 
-/// Returns the decoded body of a whole message.
-pub(super) fn body(message: &[u8], head: Head) -> Result<Vec<u8>, MessageError> {
-    let rest = &message[head.size..];
-    if head.framing != Framing::Chunked {
-        return Ok(rest.to_vec());
-    }
-    let mut chunks = Chunks::default();
-    let mut decoded = Vec::with_capacity(rest.len());
-    while let Some(data) = chunks.next(rest)? {
-        decoded.extend_from_slice(&rest[data]);
-    }
-    chunks.end().ok_or(MessageError::Truncated)?;
-    Ok(decoded)
+/// Reads once from the socket, as [`read_some`] does, and tells `meter`.
+async fn read_metered(
+    stream: &mut (impl AsyncRead + Unpin),
+    buf: &mut Vec<u8>,
+    meter: &mut impl Meter,
+) -> Result<usize, MessageError> {
+    meter.wait_room().await;
+    let size = read_some(stream, buf).await?;
+    meter.record(size, buf.capacity())?;
+    Ok(size)
 }
 
-/// Finds the chunks of a body, each once while the body grows.
-#[derive(Debug, Default)]
+/// Decodes the chunks of a body in place while it arrives.
+#[derive(Debug)]
 struct Chunks {
-    /// Where the next chunk begins.
-    position: usize,
-    /// Whether the last chunk was found.
-    ended: bool,
+    /// Where the decoded bytes end and those not decoded yet begin.
+    end: usize,
+    /// What comes next.
+    next: Next,
+}
+
+/// What comes next in a chunked body.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Next {
+    /// The size of a chunk.
+    Size,
+    /// This number of bytes of a chunk.
+    Data(usize),
+    /// The line end after a chunk; the last chunk is the empty one.
+    LineEnd {
+        /// Whether the chunk was the last.
+        last: bool,
+    },
 }
 
 impl Chunks {
-    /// Returns where the body ends; none if it is not whole yet.
-    fn end(&self) -> Option<usize> {
-        self.ended.then_some(self.position)
+    /// Starts a body at this position of the buffer.
+    fn new(start: usize) -> Self {
+        Self {
+            end: start,
+            next: Next::Size,
+        }
     }
 
-    /// Returns the position of the next chunk's data; none if it is not whole yet, or
-    /// the body has ended. Trailers are rejected.
-    fn next(&mut self, bytes: &[u8]) -> Result<Option<Range<usize>>, MessageError> {
-        const CRLF: &[u8] = b"\r\n";
-        if self.ended {
-            return Ok(None);
-        }
-        let parsed = httparse::parse_chunk_size(&bytes[self.position..]);
-        let parsed = parsed.map_err(|_| MessageError::Chunk)?;
-        let httparse::Status::Complete((head, size)) = parsed else {
-            return Ok(None);
-        };
-        let start = self.position + head;
-        let size = usize::try_from(size).map_err(|_| MessageError::Chunk)?;
-        let end = start.checked_add(size).ok_or(MessageError::Chunk)?;
-        let after = end.checked_add(CRLF.len()).ok_or(MessageError::Chunk)?;
-        let Some(terminator) = bytes.get(end..after) else {
-            return Ok(None);
-        };
-        if terminator != CRLF {
-            return Err(MessageError::Chunk);
+    /// Decodes the bytes that have arrived. Returns where the body ends in the buffer; none
+    /// if it is not whole yet. Trailers are rejected.
+    fn decode(&mut self, buf: &mut Vec<u8>) -> Result<Option<usize>, MessageError> {
+        let mut position = self.end;
+        let mut ended = false;
+        while !ended {
+            let rest = &buf[position..];
+            match self.next {
+                Next::Size => {
+                    let parsed = httparse::parse_chunk_size(rest);
+                    let parsed = parsed.map_err(|_| MessageError::Chunk)?;
+                    let httparse::Status::Complete((line, size)) = parsed else {
+                        break;
+                    };
+                    position += line;
+                    self.next = match usize::try_from(size).map_err(|_| MessageError::Chunk)? {
+                        0 => Next::LineEnd { last: true },
+                        size => Next::Data(size),
+                    };
+                }
+                Next::Data(_) if rest.is_empty() => break,
+                Next::Data(left) => {
+                    let size = left.min(rest.len());
+                    buf.copy_within(position..position + size, self.end);
+                    self.end += size;
+                    position += size;
+                    self.next = match left - size {
+                        0 => Next::LineEnd { last: false },
+                        left => Next::Data(left),
+                    };
+                }
+                Next::LineEnd { last } => {
+                    const CRLF: &[u8] = b"\r\n";
+                    let Some(line_end) = rest.get(..CRLF.len()) else {
+                        break;
+                    };
+                    if line_end != CRLF {
+                        return Err(MessageError::Chunk);
+                    }
+                    position += CRLF.len();
+                    self.next = Next::Size;
+                    ended = last;
+                }
+            }
         }
-        self.position = after;
-        self.ended = size == 0;
-        Ok((!self.ended).then_some(start..end))
+        buf.drain(self.end..position);
+        Ok(ended.then_some(self.end))
     }
 }
 
@@ -223,6 +275,9 @@
 ) -> io::Result<usize> {
     let start = buf.len();
     poll_fn(|context| {
+        if buf.capacity() - start < READ_BYTES {
+            buf.reserve_exact(READ_BYTES.max(start / GROWTH_DIVISOR));
+        }
         buf.resize(start + READ_BYTES, 0);
         let read = Pin::new(&mut *stream).poll_read(context, &mut buf[start..]);
         let size = match &read {
--- a/crates/guavacourse/src/edge/http/message.rs
+++ b/crates/guavacourse/src/edge/http/message.rs
@@ -7,7 +7,7 @@
     headers::{HeaderName, HeaderValue},
 };
 
-use super::head::{Head, MAX_HEADERS, MessageError, body};
+use super::head::{Head, MAX_HEADERS, MessageError};
 
 /// Path and query of a request, byte for byte as they were received. The
 /// request's parsed URL may normalise them.
@@ -42,8 +42,16 @@
     }
 }
 
+/// Returns the body of a whole message whose chunks are decoded. It keeps the message's
+/// buffer, without spare room.
+pub(super) fn body(mut message: Vec<u8>, head: Head) -> Vec<u8> {
+    message.drain(..head.size);
+    message.shrink_to_fit();
+    message
+}
+
 /// Parses a whole request, and stores its [`Target`] as an extension.
-pub(super) fn request(message: &[u8], head: Head) -> Result<Request, MessageError> {
+pub(super) fn request(message: Vec<u8>, head: Head) -> Result<Request, MessageError> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut parsed = httparse::Request::new(&mut headers);
     parsed.parse(&message[..head.size]).map_err(syntax_error)?;
@@ -61,12 +69,20 @@
     let url = Url::parse(&format!("http://{host}{target}"))
         .map_err(|e| MessageError::Header(format!("host `{host}` makes no URL: {e}")))?;
     let mut request = Request::new(method, url);
-    request.set_body(body(message, head)?);
-    request.remove_header("content-type");
     for header in parsed.headers.iter() {
         let (name, value) = convert_header(header)?;
         request.append_header(name, value);
     }
+    let media: Vec<HeaderValue> = request
+        .header("content-type")
+        .map(|values| values.iter().cloned().collect())
+        .unwrap_or_default();
+    request.set_body(body(message, head));
+    // Setting the body adds a media type that the sender has not given.
+    request.remove_header("content-type");
+    for value in media {
+        request.append_header("content-type", value);
+    }
     request.ext_mut().insert(Target(target));
     Ok(request)
 }
--- a/crates/guavacourse/src/edge/http/mod.rs
+++ b/crates/guavacourse/src/edge/http/mod.rs
@@ -6,14 +6,16 @@
 //! them with `httparse`, the parser that `async-h1` uses; `async-h1` only encodes
 //! responses, and requests passed as [`http_types::Request`].
 
+mod account;
 mod client;
 mod head;
 mod message;
 mod receive_memory;
 mod server;
 
+pub use account::{CallerAccount, Cause, Seat};
 pub use client::{Connection, ExchangeError, call};
 pub use head::{MAX_HEAD_BYTES, MessageError};
 pub use message::{ResponseHead, Target, is_header_value, set_header, status};
 pub use receive_memory::ReceiveMemory;
-pub use server::{Limits, Shutdown, json_response, serve};
+pub use server::{Limits, Shutdown, json_response, serve, serve_seated};
--- a/crates/guavacourse/src/edge/http/receive_memory.rs
+++ b/crates/guavacourse/src/edge/http/receive_memory.rs
@@ -8,7 +8,7 @@
     atomic::{AtomicUsize, Ordering},
 };
 
-use super::head::MessageError;
+use super::head::{MessageError, Meter};
 
 /// Size up to which a response does not count, in bytes: small responses are read even
 /// if large ones have used up the memory.
@@ -48,12 +48,12 @@
 }
 
 impl Share {
-    /// Reserves memory for a response of which `size` bytes were read.
+    /// Reserves memory for a response that takes `size` bytes.
     ///
     /// # Errors
     ///
     /// Returns an error if the memory is used up.
-    pub(super) fn grow(&mut self, size: usize) -> Result<(), MessageError> {
+    fn grow(&mut self, size: usize) -> Result<(), MessageError> {
         let needed = size.saturating_sub(FREE_BYTES);
         let Some(more) = needed.checked_sub(self.reserved) else {
             return Ok(());
@@ -67,6 +67,12 @@
     }
 }
 
+impl Meter for Option<Share> {
+    fn record(&mut self, _: usize, held: usize) -> Result<(), MessageError> {
+        self.as_mut().map_or(Ok(()), |share| share.grow(held))
+    }
+}
+
 impl Drop for Share {
     fn drop(&mut self) {
         self.memory.used.fetch_sub(self.reserved, Ordering::Relaxed);
--- a/crates/guavacourse/src/edge/http/server.rs
+++ b/crates/guavacourse/src/edge/http/server.rs
@@ -16,11 +16,27 @@
 use smol::{Timer, net::TcpStream};
 
 use super::{
-    head::{Framing, MAX_HEAD_BYTES, MessageError, MessageKind, read_body, read_head, read_some},
+    account::{CallerAccount, Cause, Seat},
+    head::{
+        Framing, MAX_HEAD_BYTES, MessageError, MessageKind, Meter, read_body, read_head, read_some,
+    },
     message,
 };
 use crate::edge::latch::Latch;
 
+/// Bytes of the next requests that are read while a request runs. Reading shows whether
+/// the peer has closed the connection; what it sends beyond them waits in the socket.
+const READ_AHEAD_BYTES: usize = 16 * 1024;
+
+/// Size of the pieces in which a response is encoded and written, in bytes.
+const WRITE_BYTES: usize = 16 * 1024;
+
+/// Longest wait for the peer to read why its connection is closed for others.
+const EVICTION_LINGER: Duration = Duration::from_millis(100);
+
+/// Delay after which a request that found no room may be repeated, in seconds.
+const RETRY_SECONDS: &str = "1";
+
 /// Limits of one connection.
 #[derive(Clone, Debug)]
 pub struct Limits {
@@ -36,6 +52,8 @@
     pub write_timeout: Duration,
     /// Progress of the server's shutdown.
     pub shutdown: Shutdown,
+    /// Account of the memory and the connections of all callers.
+    pub account: CallerAccount,
 }
 
 /// Progress of a server's shutdown. Clones share the same state.
@@ -78,6 +96,7 @@
             read_timeout: Duration::from_secs(5),
             write_timeout: Duration::from_secs(5),
             shutdown: Shutdown::default(),
+            account: CallerAccount::default(),
         }
     }
 }
@@ -98,8 +117,29 @@
 ///
 /// Returns the socket's error if reading or writing fails.
 pub async fn serve<F>(
+    stream: TcpStream,
+    limits: Limits,
+    handler: impl Fn(Request) -> F,
+) -> io::Result<()>
+where
+    F: Future<Output = Response>,
+{
+    match limits.account.open() {
+        Some(seat) => serve_seated(stream, limits, seat, handler).await,
+        None => Ok(()),
+    }
+}
+
+/// Serves one connection that has a place in the account of its listener, as [`serve`]
+/// does.
+///
+/// # Errors
+///
+/// Returns the socket's error if reading or writing fails.
+pub async fn serve_seated<F>(
     mut stream: TcpStream,
     limits: Limits,
+    seat: Seat,
     handler: impl Fn(Request) -> F,
 ) -> io::Result<()>
 where
@@ -107,16 +147,20 @@
 {
     let mut buf = Vec::new();
     loop {
-        let (request, close) = match read_request(&mut stream, &mut buf, &limits).await {
+        let read = read_request(&mut stream, &mut buf, &limits, &seat).await;
+        let (request, close) = match read {
             Ok(Some(request)) => request,
             Ok(None) => return Ok(()),
-            Err(error) => return reject(&mut stream, &limits, &error).await,
+            Err(error) => {
+                drop(std::mem::take(&mut buf));
+                return reject(&mut stream, &limits, &error, &seat).await;
+            }
         };
         let method = request.method();
         let response = async { Some(handler(request).await) };
         let mut reader = stream.clone();
         let disconnected = async {
-            wait_closed(&mut reader, &mut buf, limits.max_body).await;
+            wait_closed(&mut reader, &mut buf).await;
             None
         };
         let Some(mut response) = response.or(disconnected).await else {
@@ -126,7 +170,13 @@
         if close {
             response.insert_header(headers::CONNECTION, "close");
         }
-        write(&mut stream, &limits, response, method).await?;
+        seat.answer(response.len().unwrap_or_default() + buf.capacity());
+        let evicted = async {
+            seat.evicted().await;
+            Err(io::ErrorKind::ConnectionAborted.into())
+        };
+        let written = write(&mut stream, &limits, response, method, &seat);
+        evicted.or(written).await?;
         if close {
             return stream.close().await;
         }
@@ -146,35 +196,64 @@
 
 /// Reads one whole request; returns it and whether its sender asks to close the
 /// connection afterwards. Returns none if the peer closed the connection between
-/// requests, sent nothing within the idle timeout, or the shutdown ended.
+/// requests, sent nothing within the idle timeout, or the shutdown ended, or if the
+/// connection makes room for others before a request has begun.
 async fn read_request(
     stream: &mut TcpStream,
     buf: &mut Vec<u8>,
     limits: &Limits,
+    seat: &Seat,
 ) -> Result<Option<(Request, bool)>, MessageError> {
-    if buf.is_empty() && !wait_request(stream, buf, limits).await? {
+    seat.wait();
+    let idle = buf.is_empty();
+    if idle && !wait_request(stream, buf, limits, seat).await? {
         return Ok(None);
     }
+    seat.begin();
+    let mut meter = SeatMeter(seat);
     let request = async {
-        let head = read_head(stream, buf, MessageKind::Request, limits.max_head).await?;
+        meter.record(buf.len(), buf.capacity())?;
+        let kind = MessageKind::Request;
+        let head = read_head(stream, buf, kind, limits.max_head, &mut meter).await?;
         let fits = !matches!(head.framing, Framing::Length(length) if length > limits.max_body);
         if head.expect && fits {
             stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
         }
-        let end = read_body(stream, buf, head, limits.max_body, |_| Ok(())).await?;
+        let end = read_body(stream, buf, head, limits.max_body, &mut meter).await?;
         let rest = buf.split_off(end);
         let message = std::mem::replace(buf, rest);
-        let request = message::request(&message, head)?;
+        let request = message::request(message, head)?;
         if request.len().is_some_and(|length| length > limits.max_body) {
             return Err(MessageError::BodyTooLong(end - head.size, limits.max_body));
         }
+        seat.run(end + buf.capacity())?;
         Ok(Some((request, head.close)))
     };
     let timed_out = async {
         Timer::after(limits.read_timeout).await;
         Err(MessageError::Io(io::ErrorKind::TimedOut.into()))
     };
-    request.or(timed_out).await
+    let evicted = async {
+        match seat.evicted().await {
+            Cause::Connections => Err(MessageError::ClosedIdle),
+            Cause::Memory | Cause::Refused => Err(MessageError::Crowded),
+        }
+    };
+    evicted.or(request).or(timed_out).await
+}
+
+/// Charges a connection for the request that it receives.
+struct SeatMeter<'a>(&'a Seat);
+
+impl Meter for SeatMeter<'_> {
+    fn record(&mut self, moved: usize, held: usize) -> Result<(), MessageError> {
+        self.0.moved(moved);
+        self.0.charge(held)
+    }
+
+    async fn wait_room(&self) {
+        self.0.wait_room().await;
+    }
 }
 
 /// Waits for the first byte of a request; false if none comes.
@@ -182,6 +261,7 @@
     stream: &mut TcpStream,
     buf: &mut Vec<u8>,
     limits: &Limits,
+    seat: &Seat,
 ) -> Result<bool, MessageError> {
     let read = async { Ok(read_some(stream, buf).await? > 0) };
     let idle = async {
@@ -192,13 +272,17 @@
         limits.shutdown.wait_ended().await;
         Ok(false)
     };
-    read.or(idle).or(ended).await
+    let evicted = async {
+        seat.evicted().await;
+        Ok(false)
+    };
+    evicted.or(read).or(idle).or(ended).await
 }
 
-/// Returns once the peer has closed the connection. Bytes of the next request are
-/// appended to `buf`; after `limit` bytes it reads no more and never returns.
-async fn wait_closed(stream: &mut TcpStream, buf: &mut Vec<u8>, limit: usize) {
-    while buf.len() < limit {
+/// Returns once the peer has closed the connection. Bytes of the next requests are
+/// appended to `buf`; after [`READ_AHEAD_BYTES`] it reads no more and never returns.
+async fn wait_closed(stream: &mut TcpStream, buf: &mut Vec<u8>) {
+    while buf.len() < READ_AHEAD_BYTES {
         match read_some(stream, buf).await {
             Ok(0) | Err(_) => return,
             Ok(_) => {}
@@ -208,7 +292,12 @@
 }
 
 /// Answers a bad message with an error and closes the connection.
-async fn reject(stream: &mut TcpStream, limits: &Limits, error: &MessageError) -> io::Result<()> {
+async fn reject(
+    stream: &mut TcpStream,
+    limits: &Limits,
+    error: &MessageError,
+    seat: &Seat,
+) -> io::Result<()> {
     let status = match error {
         MessageError::ClosedIdle | MessageError::Truncated => return Ok(()),
         MessageError::Io(e) if e.kind() != io::ErrorKind::TimedOut => return Ok(()),
@@ -217,7 +306,7 @@
         MessageError::BodyTooLong(..) => 413,
         MessageError::Chunk | MessageError::Syntax(_) | MessageError::Header(_) => 400,
         MessageError::Version(_) => 505,
-        MessageError::NoMemory(_) => 503,
+        MessageError::NoMemory(_) | MessageError::Crowded => 503,
         MessageError::TransferCoding | MessageError::LengthRequired => 501,
     };
     let message = match error {
@@ -232,9 +321,29 @@
     };
     let mut response = json_response(status, &body);
     response.insert_header(headers::CONNECTION, "close");
-    write(stream, limits, response, Method::Post).await?;
-    stream.close().await?;
-    discard(stream).or(sleep(limits.read_timeout)).await
+    let crowded = matches!(error, MessageError::Crowded);
+    if crowded {
+        response.insert_header(headers::RETRY_AFTER, RETRY_SECONDS);
+    }
+    seat.answer(0);
+    let linger = if crowded {
+        EVICTION_LINGER
+    } else {
+        limits.read_timeout
+    };
+    let closed = async {
+        write(stream, limits, response, Method::Post, seat).await?;
+        stream.close().await?;
+        discard(stream).await
+    };
+    let evicted = async {
+        if crowded {
+            future::pending::<()>().await;
+        }
+        seat.evicted().await;
+        Ok(())
+    };
+    evicted.or(closed).or(sleep(linger)).await
 }
 
 /// Reads and discards bytes until the peer closes the connection. Closing a socket
@@ -252,18 +361,33 @@
     Ok(())
 }
 
+/// Writes a response in pieces, so that it is not held a second time.
 async fn write(
     stream: &mut TcpStream,
     limits: &Limits,
     response: Response,
     method: Method,
+    seat: &Seat,
 ) -> io::Result<()> {
     let sent = async {
-        let mut bytes = Vec::new();
         let mut encoder = async_h1::server::Encoder::new(response, method);
-        encoder.read_to_end(&mut bytes).await?;
-        stream.write_all(&bytes).await?;
-        stream.flush().await
+        let mut piece = Vec::with_capacity(WRITE_BYTES);
+        loop {
+            piece.clear();
+            let mut part = (&mut encoder).take(WRITE_BYTES as u64);
+            if part.read_to_end(&mut piece).await? == 0 {
+                return stream.flush().await;
+            }
+            let mut rest = &piece[..];
+            while !rest.is_empty() {
+                let size = stream.write(rest).await?;
+                if size == 0 {
+                    return Err(io::ErrorKind::WriteZero.into());
+                }
+                seat.moved(size);
+                rest = &rest[size..];
+            }
+        }
     };
     let timed_out = async {
         Timer::after(limits.write_timeout).await;
--- a/crates/guavacourse/src/modules/mod.rs
+++ b/crates/guavacourse/src/modules/mod.rs
@@ -10,6 +10,7 @@
 pub mod budget;
 pub mod burn;
 pub mod call;
+pub mod caller_memory;
 pub mod catalog;
 pub mod check;
 pub mod claims;
