--- a/crates/guavacourse/src/edge/gateway/mod.rs
+++ b/crates/guavacourse/src/edge/gateway/mod.rs
@@ -43,6 +43,7 @@
     worker::Worker,
 };
 use crate::modules::{
+    caller_memory::InstanceLimits,
     collections::Map,
     customers::Revocation,
     extra::ExtraLimits,
@@ -87,6 +88,8 @@
     pub grace: Duration,
     /// How soon a revoked key must be refused.
     pub revocation: Revocation,
+    /// Memory and descriptors of the instance, which limit what callers can take.
+    pub resources: InstanceLimits,
 }
 
 impl GatewayConfig {
--- a/crates/guavacourse/src/edge/gateway/serve.rs
+++ b/crates/guavacourse/src/edge/gateway/serve.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use futures_lite::FutureExt;
+use futures_lite::{FutureExt, future};
 use http_types::{Request, Response};
 use opentelemetry::KeyValue;
 use smol::{
@@ -26,7 +26,7 @@
 use crate::{
     edge::{
         clock::Clock,
-        http::{self, Limits},
+        http::{self, CallerAccount, Cause, Limits, ReceiveMemory, Seat},
         metrics::{EntryMetrics, Metrics},
         node::{NodeServer, serve_fleet},
         published::Published,
@@ -35,8 +35,14 @@
         worker::StopSignal,
     },
     modules::{
-        crash_evidence::Finding, customers::Revocation, delegation, inventory::Address,
-        line_budget::LineBudget, load_balancer::LoadBalancer, view::View,
+        caller_memory::CallerLimits,
+        crash_evidence::Finding,
+        customers::Revocation,
+        delegation,
+        inventory::Address,
+        line_budget::{LineBudget, LineDecision},
+        load_balancer::LoadBalancer,
+        view::View,
         wait_estimator::WaitEstimator,
     },
 };
@@ -50,6 +56,18 @@
 /// Delay after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Delay before the next connection is accepted while too many are still closing.
+const CROWDED_DELAY: Duration = Duration::from_millis(5);
+
+/// Limits of the readiness check and of the metrics, whose clients are few and send
+/// requests without a body.
+const INTERNAL_LIMITS: CallerLimits = CallerLimits {
+    bytes: 1024 * 1024,
+    reserve: 0,
+    connections: 48,
+    closing: 4,
+};
+
 /// Longest wait for calls to leaves at shutdown.
 const RELAY_STOP_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -91,6 +109,8 @@
     pub(super) max_running: u32,
     metrics: Metrics,
     tasks: Tasks,
+    /// Account of the connections of callers.
+    account: CallerAccount,
 }
 
 impl Setup {
@@ -114,7 +134,8 @@
             }),
         };
         let view = self.view.clone();
-        let relay = LocalRelay::start(&executor, self.clock, view, self.leaves, observer);
+        let memory = ReceiveMemory::new(self.config.resources.response_bytes());
+        let relay = LocalRelay::start(&executor, self.clock, view, self.leaves, observer, memory);
         let Some(relay) = relay else {
             return;
         };
@@ -125,6 +146,8 @@
         let peers = Rc::new(Peers::new(&executor, self.clock, &balancer));
         let own = Address(self.config.callers);
         let router = CallRouter::new(relay, own, self.view.clone(), &peers, &executor);
+        let account = CallerAccount::new(self.config.resources.callers());
+        observe(&self.metrics, &account);
         let traffic = Rc::new(Traffic {
             clock: self.clock,
             view: self.view,
@@ -142,9 +165,17 @@
             max_running: delegation::max_peer_queries(self.config.power),
             metrics: self.metrics,
             tasks: Tasks::default(),
+            account: account.clone(),
         });
         let listeners = self.listeners;
-        let callers = accept(&traffic, &executor, listeners.callers, serve_callers);
+        let internal = || CallerAccount::new(INTERNAL_LIMITS);
+        let callers = accept(
+            &traffic,
+            &executor,
+            listeners.callers,
+            account,
+            serve_callers,
+        );
         let shutdown = traffic.stopping.shutdown.clone();
         let mut serving = vec![
             // No connection is accepted whose request could be cut.
@@ -153,6 +184,7 @@
                 &traffic,
                 &executor,
                 listeners.ready,
+                internal(),
                 serve_readiness,
             )),
         ];
@@ -165,7 +197,13 @@
         let peers = serve_fleet(listeners.queries, Rc::new(node), Rc::clone(&executor));
         serving.push(executor.spawn(peers));
         if let Some(listener) = listeners.metrics {
-            serving.push(executor.spawn(accept(&traffic, &executor, listener, serve_metrics)));
+            serving.push(executor.spawn(accept(
+                &traffic,
+                &executor,
+                listener,
+                internal(),
+                serve_metrics,
+            )));
         }
         stop.wait().await;
         for task in serving {
@@ -179,12 +217,31 @@
     }
 }
 
-/// Accepts connections until the future is dropped, and serves each with `serve`.
+/// Shows what callers hold, and what was closed or refused, in the metrics.
+fn observe(metrics: &Metrics, account: &CallerAccount) {
+    let counters = [
+        ("callers_closed_memory", Cause::Memory),
+        ("callers_closed_connections", Cause::Connections),
+        ("callers_refused_memory", Cause::Refused),
+    ];
+    for (name, cause) in counters {
+        let account = account.clone();
+        metrics.observe_counter(name, move || account.count(cause));
+    }
+    let held = account.clone();
+    metrics.observe_gauge("caller_bytes", move || held.held() as u64);
+    let open = account.clone();
+    metrics.observe_gauge("caller_connections", move || open.connections() as u64);
+}
+
+/// Accepts connections until the future is dropped, and serves each with `serve`. Each
+/// takes a place in `account`; without one it is closed.
 fn accept<F>(
     traffic: &Rc<Traffic>,
     executor: &Rc<LocalExecutor<'static>>,
     listener: StdListener,
-    serve: impl Fn(Rc<Traffic>, TcpStream) -> F + 'static,
+    account: CallerAccount,
+    serve: impl Fn(Rc<Traffic>, TcpStream, Seat) -> F + 'static,
 ) -> impl Future<Output = ()> + 'static
 where
     F: Future<Output = std::io::Result<()>> + 'static,
@@ -199,14 +256,21 @@
                 return;
             }
         };
+        let mut lines = LineBudget::default();
         loop {
+            while account.is_crowded() {
+                smol::Timer::after(CROWDED_DELAY).await;
+            }
             match listener.accept().await {
                 Ok((stream, _)) => {
+                    let Some(seat) = account.open() else {
+                        continue;
+                    };
                     // Small answers must not wait for the peer's acknowledgement.
                     if let Err(error) = stream.set_nodelay(true) {
                         tracing::debug!(%error, "a connection is already closed");
                     }
-                    let connection = serve(Rc::clone(&traffic), stream);
+                    let connection = serve(Rc::clone(&traffic), stream, seat);
                     traffic.tasks.spawn(&executor, async move {
                         if let Err(error) = connection.await {
                             tracing::debug!(%error, "a connection failed");
@@ -214,16 +278,21 @@
                     });
                 }
                 Err(error) => {
-                    tracing::warn!(%error, "cannot accept a connection; raise the open-file limit");
+                    if let LineDecision::Write { left_out } = lines.count(traffic.clock.now()) {
+                        tracing::warn!(%error, left_out, "cannot accept a connection; raise the open-file limit");
+                    }
+                    account.make_room();
                     smol::Timer::after(ACCEPT_RETRY_DELAY).await;
                 }
             }
+            // Connections that were told to close must run before others are accepted.
+            future::yield_now().await;
         }
     }
 }
 
 /// Serves a connection of a caller.
-async fn serve_callers(traffic: Rc<Traffic>, stream: TcpStream) -> std::io::Result<()> {
+async fn serve_callers(traffic: Rc<Traffic>, stream: TcpStream, seat: Seat) -> std::io::Result<()> {
     let view = traffic.view.load();
     let mut limits = Limits {
         max_head: DEFAULT_MAX_HEAD,
@@ -252,11 +321,15 @@
             response
         }
     };
-    http::serve(stream, limits, handler).await
+    http::serve_seated(stream, limits, seat, handler).await
 }
 
 /// Serves a connection of the readiness check.
-async fn serve_readiness(traffic: Rc<Traffic>, stream: TcpStream) -> std::io::Result<()> {
+async fn serve_readiness(
+    traffic: Rc<Traffic>,
+    stream: TcpStream,
+    seat: Seat,
+) -> std::io::Result<()> {
     let handler = |request: Request| {
         let ready = traffic.view.load().ready() && !traffic.stopping.leaving();
         let known = traffic.callers.is_readiness_path(request.url().path());
@@ -267,11 +340,11 @@
         };
         async move { Response::new(status) }
     };
-    http::serve(stream, Limits::default(), handler).await
+    http::serve_seated(stream, Limits::default(), seat, handler).await
 }
 
 /// Serves a connection that reads the metrics.
-async fn serve_metrics(traffic: Rc<Traffic>, stream: TcpStream) -> std::io::Result<()> {
+async fn serve_metrics(traffic: Rc<Traffic>, stream: TcpStream, seat: Seat) -> std::io::Result<()> {
     let handler = |_| {
         let page = traffic.metrics.scrape();
         async move {
@@ -280,5 +353,5 @@
             response
         }
     };
-    http::serve(stream, Limits::default(), handler).await
+    http::serve_seated(stream, Limits::default(), seat, handler).await
 }
--- a/crates/guavacourse/src/edge/http/account.rs
+++ b/crates/guavacourse/src/edge/http/account.rs
@@ -49,7 +49,9 @@
 
 impl fmt::Debug for CallerAccount {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.debug_struct("CallerAccount").finish_non_exhaustive()
+        formatter
+            .debug_struct("CallerAccount")
+            .finish_non_exhaustive()
     }
 }
 
@@ -157,15 +159,21 @@
         let (held, connections) = (self.memory.held(), self.memory.connections());
         match cause {
             Cause::Memory => tracing::warn!(
-                held, connections, left_out,
+                held,
+                connections,
+                left_out,
                 "a caller's connection is closed: others need its memory"
             ),
             Cause::Connections => tracing::warn!(
-                held, connections, left_out,
+                held,
+                connections,
+                left_out,
                 "a caller's connection is closed: others need its place"
             ),
             Cause::Refused => tracing::warn!(
-                held, connections, left_out,
+                held,
+                connections,
+                left_out,
                 "a caller's request is refused: there is no memory for it"
             ),
         }
@@ -193,7 +201,10 @@
 
     /// Records that a request begins.
     pub(super) fn begin(&self) {
-        self.account.state().memory.begin(self.key, self.account.now());
+        self.account
+            .state()
+            .memory
+            .begin(self.key, self.account.now());
     }
 
     /// Records that the request has run and a response of `size` bytes is written. It is
--- a/crates/guavacourse/src/edge/metrics.rs
+++ b/crates/guavacourse/src/edge/metrics.rs
@@ -65,6 +65,19 @@
             .build();
     }
 
+    /// Adds a gauge whose value is read at each collection.
+    pub(crate) fn observe_gauge(
+        &self,
+        name: &'static str,
+        read: impl Fn() -> u64 + Send + Sync + 'static,
+    ) {
+        let meter = self.meter();
+        meter
+            .u64_observable_gauge(name)
+            .with_callback(move |observer| observer.observe(read(), &[]))
+            .build();
+    }
+
     /// Collects all instruments and returns them as text. It blocks briefly.
     #[must_use]
     pub fn scrape(&self) -> String {
--- a/crates/guavacourse/src/edge/node.rs
+++ b/crates/guavacourse/src/edge/node.rs
@@ -1,14 +1,17 @@
 //! The bootstrap capability of a process, and the listener that serves it.
 
-use std::{net::TcpListener as StdListener, rc::Rc};
+use std::{net::TcpListener as StdListener, rc::Rc, time::Duration};
 
-use smol::{LocalExecutor, Task, net::TcpListener};
+use smol::{LocalExecutor, Task, Timer, net::TcpListener};
 
 use crate::{
     edge::fleet,
     generated::wire_capnp::{feed, handover, node, peer, queries, relay},
 };
 
+/// Delay after a connection could not be accepted.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(200);
+
 /// The capabilities that one process offers to the others.
 #[derive(Clone, Default)]
 pub(crate) struct NodeServer {
@@ -102,7 +105,11 @@
                     }
                 }));
             }
-            Err(error) => tracing::warn!(%error, "cannot accept a peer; raise the open-file limit"),
+            Err(error) => {
+                tracing::warn!(%error, "cannot accept a peer; raise the open-file limit");
+                // The error comes again at once while descriptors are used up.
+                Timer::after(ACCEPT_RETRY_DELAY).await;
+            }
         }
     }
 }
--- a/crates/guavacourse/src/edge/relay/exchanges.rs
+++ b/crates/guavacourse/src/edge/relay/exchanges.rs
@@ -45,9 +45,9 @@
 /// as that of a cancelled call. Until then the call's slot counts as taken.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Memory for the responses that one thread reads at the same time, in bytes. The
-/// smallest machines have ten times as much.
-const RESPONSE_MEMORY: usize = 16 * 1024 * 1024;
+/// Memory for the responses that one thread of a relay process reads at the same time, in
+/// bytes. A gateway derives its own from the memory of its instance.
+pub(super) const RESPONSE_MEMORY: usize = 16 * 1024 * 1024;
 
 /// A command from the dispatcher.
 pub(super) enum Command {
@@ -113,6 +113,8 @@
     pub(super) commands: Receiver<Command>,
     pub(super) reports: Sender<Report>,
     pub(super) protocol: Arc<dyn LeafProtocol>,
+    /// Memory for the responses that are read at the same time.
+    pub(super) memory: ReceiveMemory,
 }
 
 impl ExchangeRunner {
@@ -124,7 +126,7 @@
             clock: self.clock,
             reports: self.reports,
             protocol: self.protocol,
-            memory: ReceiveMemory::new(RESPONSE_MEMORY),
+            memory: self.memory,
             pool: RefCell::default(),
             calls: RefCell::default(),
             tasks: Tasks::default(),
--- a/crates/guavacourse/src/edge/relay/local.rs
+++ b/crates/guavacourse/src/edge/relay/local.rs
@@ -14,7 +14,7 @@
     protocol::LeafProtocol,
 };
 use crate::{
-    edge::{clock::Clock, entry::CallSender, published::Published},
+    edge::{clock::Clock, entry::CallSender, http::ReceiveMemory, published::Published},
     modules::{
         admission::SessionId,
         call::{AttemptId, Part, Reply},
@@ -41,13 +41,15 @@
 
 impl LocalRelay {
     /// Starts the relay on the thread of `executor`; none if no session can be
-    /// opened. Calls `observer` with what it learns.
+    /// opened. Calls `observer` with what it learns. `memory` limits the responses that
+    /// are read at the same time.
     pub(crate) fn start(
         executor: &Rc<LocalExecutor<'static>>,
         clock: Clock,
         view: Published<View>,
         protocol: Arc<dyn LeafProtocol>,
         observer: Observer,
+        memory: ReceiveMemory,
     ) -> Option<Self> {
         let (commands, receiver) = unbounded();
         let (reporter, reports) = unbounded();
@@ -56,6 +58,7 @@
             commands: receiver,
             reports: reporter,
             protocol,
+            memory,
         };
         let dispatcher =
             Dispatcher::new(Rc::clone(executor), clock, view, observer, vec![commands]);
--- a/crates/guavacourse/src/edge/relay/mod.rs
+++ b/crates/guavacourse/src/edge/relay/mod.rs
@@ -30,13 +30,14 @@
 };
 use self::{
     dispatcher::Dispatcher,
-    exchanges::{Command, ExchangeRunner, Report},
+    exchanges::{Command, ExchangeRunner, RESPONSE_MEMORY, Report},
     session::RelayCapability,
 };
 pub(crate) use self::{dispatcher::Observer, local::LocalRelay};
 use super::{
     clock::Clock,
     control::{Control, PeerHandle},
+    http::ReceiveMemory,
     node::{NodeServer, serve_fleet},
     published::Published,
     worker::{StopSignal, Worker},
@@ -201,6 +202,7 @@
             commands: receiver,
             reports,
             protocol,
+            memory: ReceiveMemory::new(RESPONSE_MEMORY),
         }
     }
 }
--- a/crates/guavacourse/src/modules/caller_memory.rs
+++ b/crates/guavacourse/src/modules/caller_memory.rs
@@ -92,7 +92,11 @@
     /// Removes a connection that is closed.
     pub fn close(&mut self, key: CallerKey) {
         self.set_held(key, 0);
-        if self.callers.remove(key).is_some_and(|caller| caller.leaving) {
+        if self
+            .callers
+            .remove(key)
+            .is_some_and(|caller| caller.leaving)
+        {
             self.leaving.1 -= 1;
         }
     }
