--- a/crates/guavacourse/src/edge/fleet.rs
+++ b/crates/guavacourse/src/edge/fleet.rs
@@ -24,6 +24,10 @@
 /// Maximum time to open a connection to another process.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Largest message of another process, in words of 8 bytes: 16 MB, twice the largest
+/// response of a leaf. Its memory is reserved once its sizes have arrived.
+const MAX_MESSAGE_WORDS: usize = 2 * 1024 * 1024;
+
 /// A connection to another process. Dropping it closes the connection.
 pub(crate) struct Link {
     /// The other process.
@@ -92,7 +96,7 @@
         BufReader::new(reader),
         BufWriter::new(writer),
         side,
-        capnp::message::ReaderOptions::default(),
+        *capnp::message::ReaderOptions::new().traversal_limit_in_words(Some(MAX_MESSAGE_WORDS)),
     );
     (network, bytes)
 }
--- a/crates/guavacourse/src/edge/gateway/serve.rs
+++ b/crates/guavacourse/src/edge/gateway/serve.rs
@@ -109,8 +109,6 @@
     pub(super) max_running: u32,
     metrics: Metrics,
     tasks: Tasks,
-    /// Account of the connections of callers.
-    account: CallerAccount,
 }
 
 impl Setup {
@@ -165,7 +163,6 @@
             max_running: delegation::max_peer_queries(self.config.power),
             metrics: self.metrics,
             tasks: Tasks::default(),
-            account: account.clone(),
         });
         let listeners = self.listeners;
         let internal = || CallerAccount::new(INTERNAL_LIMITS);
--- a/crates/guavacourse/src/edge/http/account.rs
+++ b/crates/guavacourse/src/edge/http/account.rs
@@ -207,6 +207,16 @@
             .begin(self.key, self.account.now());
     }
 
+    /// Charges a connection whose request runs for `bytes` more that were read ahead.
+    /// Returns whether more may be read.
+    pub(super) fn read_ahead(&self, bytes: usize) -> bool {
+        let now = self.account.now();
+        let mut state = self.account.state();
+        let room = state.memory.extend(self.key, bytes, now).is_ok();
+        state.evict(Cause::Memory, now);
+        room
+    }
+
     /// Records that the request has run and a response of `size` bytes is written. It is
     /// never refused.
     pub(super) fn answer(&self, size: usize) {
--- a/crates/guavacourse/src/edge/http/server.rs
+++ b/crates/guavacourse/src/edge/http/server.rs
@@ -160,7 +160,7 @@
         let response = async { Some(handler(request).await) };
         let mut reader = stream.clone();
         let disconnected = async {
-            wait_closed(&mut reader, &mut buf).await;
+            wait_closed(&mut reader, &mut buf, &seat).await;
             None
         };
         let Some(mut response) = response.or(disconnected).await else {
@@ -280,13 +280,18 @@
 }
 
 /// Returns once the peer has closed the connection. Bytes of the next requests are
-/// appended to `buf`; after [`READ_AHEAD_BYTES`] it reads no more and never returns.
-async fn wait_closed(stream: &mut TcpStream, buf: &mut Vec<u8>) {
+/// appended to `buf`; after [`READ_AHEAD_BYTES`], or without room for more, it reads no
+/// more and never returns.
+async fn wait_closed(stream: &mut TcpStream, buf: &mut Vec<u8>, seat: &Seat) {
     while buf.len() < READ_AHEAD_BYTES {
+        let capacity = buf.capacity();
         match read_some(stream, buf).await {
             Ok(0) | Err(_) => return,
             Ok(_) => {}
         }
+        if !seat.read_ahead(buf.capacity().saturating_sub(capacity)) {
+            break;
+        }
     }
     future::pending::<()>().await;
 }
--- a/crates/guavacourse/src/edge/node.rs
+++ b/crates/guavacourse/src/edge/node.rs
@@ -9,6 +9,10 @@
     generated::wire_capnp::{feed, handover, node, peer, queries, relay},
 };
 
+/// Connections from other processes that are open at the same time: three from each
+/// process of the largest fleet. Others are closed at once.
+const MAX_CONNECTIONS: usize = 1_024;
+
 /// Delay after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -97,6 +101,11 @@
     loop {
         connections.retain(|task| !task.is_finished());
         match listener.accept().await {
+            Ok(_) if connections.len() >= MAX_CONNECTIONS => {
+                tracing::warn!("a peer is refused: too many connections are open");
+                // A crowd must not write lines, or be accepted, without pause.
+                Timer::after(ACCEPT_RETRY_DELAY).await;
+            }
             Ok((stream, _)) => {
                 let node = Rc::clone(&node);
                 connections.push(executor.spawn(async move {
--- a/crates/guavacourse/src/modules/caller_memory.rs
+++ b/crates/guavacourse/src/modules/caller_memory.rs
@@ -158,6 +158,16 @@
         Ok(())
     }
 
+    /// Charges a connection for further bytes, such as those read ahead.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no room for them: no more may be read.
+    pub fn extend(&mut self, key: CallerKey, bytes: usize, now: Time) -> Result<(), NoRoom> {
+        let held = self.callers.get(key).map_or(0, |caller| caller.held);
+        self.charge(key, held.saturating_add(bytes), now)
+    }
+
     /// Records that the request of a connection runs, and charges it for `held` bytes and
     /// the copies that running it takes.
     ///
