--- a/crates/guavacourse/src/edge/http/server.rs
+++ b/crates/guavacourse/src/edge/http/server.rs
@@ -374,7 +374,7 @@
     method: Method,
     seat: &Seat,
 ) -> io::Result<()> {
-    let sent = async {
+    let written = async {
         let mut encoder = async_h1::server::Encoder::new(response, method);
         let mut piece = Vec::with_capacity(WRITE_BYTES);
         loop {
@@ -398,5 +398,5 @@
         Timer::after(limits.write_timeout).await;
         Err(io::ErrorKind::TimedOut.into())
     };
-    sent.or(timed_out).await
+    written.or(timed_out).await
 }
--- a/crates/guavacourse/tests/caller_account.rs
+++ b/crates/guavacourse/tests/caller_account.rs
@@ -240,8 +240,8 @@
     let mut stream = server.send(format!("{head}{}", "1\r\nb\r\n".repeat(60 * KB)));
     server.wait("the chunks", |account| account.held() >= 60 * KB);
     thread::sleep(Duration::from_millis(200));
-    let held = server.account.held();
-    assert!(held <= 80 * KB, "{held} bytes are held");
+    let charged = server.account.held();
+    assert!(charged <= 80 * KB, "{charged} bytes are held");
     stream.write_all(b"0\r\n\r\n").expect("sent");
     assert!(read_until(&mut stream, "bytes").contains("61440 bytes"));
 }
