--- a/crates/guavacourse/src/edge/gateway/mod.rs
+++ b/crates/guavacourse/src/edge/gateway/mod.rs
@@ -44,6 +44,7 @@
     worker::Worker,
 };
 use crate::modules::{
+    caller_memory::InstanceLimits,
     collections::Map,
     customers::Revocation,
     extra::ExtraLimits,
@@ -93,6 +94,8 @@
     pub drain: Duration,
     /// How far the fleet may exceed the quotas of customers.
     pub tolerance: Tolerance,
+    /// Memory and descriptors of the instance, which limit what callers can take.
+    pub resources: InstanceLimits,
 }
 
 impl GatewayConfig {
--- a/crates/guavacourse/src/edge/node.rs
+++ b/crates/guavacourse/src/edge/node.rs
@@ -1,14 +1,21 @@
 //! The bootstrap capability of a process, and the listener that serves it.
 
-use std::{net::TcpListener as StdListener, rc::Rc};
+use std::{net::TcpListener as StdListener, rc::Rc, time::Duration};
 
-use smol::{LocalExecutor, Task, net::TcpListener};
+use smol::{LocalExecutor, Task, Timer, net::TcpListener};
 
 use crate::{
     edge::fleet,
     generated::wire_capnp::{exchange, feed, handover, node, peer, queries, relay},
 };
 
+/// Connections from other processes that are open at the same time: three from each
+/// process of the largest fleet. Others are closed at once.
+const MAX_CONNECTIONS: usize = 1_024;
+
+/// Delay after a connection could not be accepted.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(200);
+
 /// The capabilities that one process offers to the others.
 #[derive(Clone, Default)]
 pub(crate) struct NodeServer {
@@ -106,6 +113,11 @@
     loop {
         connections.retain(|task| !task.is_finished());
         match listener.accept().await {
+            Ok(_) if connections.len() >= MAX_CONNECTIONS => {
+                tracing::warn!("a peer is refused: too many connections are open");
+                // A crowd must not write lines, or be accepted, without pause.
+                Timer::after(ACCEPT_RETRY_DELAY).await;
+            }
             Ok((stream, _)) => {
                 let node = Rc::clone(&node);
                 connections.push(executor.spawn(async move {
@@ -114,7 +126,11 @@
                     }
                 }));
             }
-            Err(error) => tracing::warn!(%error, "cannot accept a peer; raise the open-file limit"),
+            Err(error) => {
+                tracing::warn!(%error, "cannot accept a peer; raise the open-file limit");
+                // The error comes again at once while descriptors are used up.
+                Timer::after(ACCEPT_RETRY_DELAY).await;
+            }
         }
     }
 }
--- a/crates/guavacourse/src/modules/load_balancer.rs
+++ b/crates/guavacourse/src/modules/load_balancer.rs
@@ -530,7 +530,7 @@
     ) -> Option<ShardOutlook> {
         let shard = view.catalog.shards.get(shard)?;
         let slots = view.catalog.services[shard.service].slots;
-        let mut enabled = view.catalog.customers.is_some();
+        let mut enabled = false;
         let mut best: Option<(bool, ShardOutlook)> = None;
         for key in &shard.replicas {
             let leaf = &view.catalog.leaves[*key];
