--- a/crates/guavacourse/src/edge/gateway/exchange.rs
+++ b/crates/guavacourse/src/edge/gateway/exchange.rs
@@ -41,6 +41,10 @@
 /// at the same moment.
 const INTERVAL_JITTER: Duration = Duration::from_millis(20);
 
+/// Interval at which a process that has just started checks for a configuration. Until
+/// its first exchange it refuses most requests of customers with quotas.
+const START_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Interval at which the configuration is checked while no customer has a quota.
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -160,7 +164,9 @@
         loop {
             self.configure(&self.view.load());
             let quotas = !self.quotas.borrow().is_empty();
-            let interval = if quotas || self.balancer.borrow().shares_observations() {
+            let interval = if !self.view.load().ready() {
+                START_INTERVAL
+            } else if quotas || self.balancer.borrow().shares_observations() {
                 self.exchange_due();
                 INTERVAL
             } else {
--- a/crates/guavacourse/src/modules/quotas/tolerance.rs
+++ b/crates/guavacourse/src/modules/quotas/tolerance.rs
@@ -5,7 +5,13 @@
 use crate::modules::customers::Quota;
 
 /// Fraction of the tolerance by which the fleet exceeds a quota on purpose.
-const GRANTED_FRACTION: f64 = 0.5;
+const GRANTED_FRACTION: f64 = 0.8;
+
+/// Fractions of the burst and of the tolerance that are granted at once; the rest comes
+/// with a higher rate. The bound allows them in each window, a bucket with the given rate
+/// only once.
+const BURST_FRACTION: f64 = 0.5;
+const TOLERANCE_FRACTION: f64 = 0.1;
 
 /// Number of requests of a customer that may run beyond its quota in any window.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -30,10 +36,17 @@
     /// time: a request that is refused below the bound is lost for its caller, and the
     /// counts of the processes lag, so that some are refused too early.
     pub(super) fn granted(&self, quota: &Quota) -> Quota {
-        let granted = self.requests(quota) * GRANTED_FRACTION;
+        let window = self.window.as_secs_f64();
+        if window <= 0.0 {
+            return *quota;
+        }
+        let allowed = quota.rate * window + quota.burst;
+        let tolerance = self.requests(quota);
+        let granted = allowed + tolerance * GRANTED_FRACTION;
+        let burst = quota.burst * BURST_FRACTION + tolerance * TOLERANCE_FRACTION;
         Quota {
-            rate: quota.rate + granted / self.window.as_secs_f64().max(1.0),
-            ..*quota
+            rate: (granted - burst) / window,
+            burst,
         }
     }
 
