--- a/crates/guavacourse/src/edge/gateway/serve.rs
+++ b/crates/guavacourse/src/edge/gateway/serve.rs
@@ -13,7 +13,7 @@
 use http_types::{Request, Response};
 use opentelemetry::KeyValue;
 use smol::{
-    LocalExecutor,
+    LocalExecutor, Task,
     channel::Sender,
     net::{TcpListener, TcpStream},
 };
@@ -123,23 +123,7 @@
 impl Setup {
     /// Serves until `stop`.
     pub(super) async fn run(self, executor: Rc<LocalExecutor<'static>>, stop: StopSignal) {
-        let findings = self.findings;
-        let report = move |finding| match finding {
-            Finding::Quarantined(content) => {
-                tracing::warn!(
-                    content,
-                    "request content crashed a leaf that ran nothing else"
-                );
-            }
-            finding => pass_on(&findings, finding),
-        };
-        let notices = self.entry_metrics.leaf_notices.clone();
-        let observer = Observer {
-            on_finding: Box::new(report),
-            on_leaf_event: Box::new(move |event| {
-                notices.add(1, &[KeyValue::new("kind", event.label())]);
-            }),
-        };
+        let observer = observer(self.findings, &self.entry_metrics);
         let view = self.view.clone();
         let memory = ReceiveMemory::new(self.config.resources.response_bytes());
         let relay = LocalRelay::start(&executor, self.clock, view, self.leaves, observer, memory);
@@ -184,48 +168,7 @@
             metrics: self.metrics,
             tasks: Tasks::default(),
         });
-        let listeners = self.listeners;
-        let internal = || CallerAccount::new(INTERNAL_LIMITS);
-        let callers = accept(
-            &traffic,
-            &executor,
-            listeners.callers,
-            account,
-            serve_callers,
-        );
-        let shutdown = traffic.stopping.shutdown.clone();
-        let mut serving = vec![
-            // No connection is accepted whose request could be cut.
-            executor.spawn(callers.or(async move { shutdown.wait_ended().await })),
-            executor.spawn(accept(
-                &traffic,
-                &executor,
-                listeners.ready,
-                internal(),
-                serve_readiness,
-            )),
-        ];
-        let node = NodeServer {
-            queries: Some(capnp_rpc::new_client(QueryServer {
-                traffic: Rc::clone(&traffic),
-            })),
-            exchange: Some(capnp_rpc::new_client(ExchangeServer {
-                exchange: Rc::clone(&exchange),
-            })),
-            ..NodeServer::default()
-        };
-        let peers = serve_fleet(listeners.queries, Rc::new(node), Rc::clone(&executor));
-        serving.push(executor.spawn(peers));
-        if let Some(listener) = listeners.metrics {
-            serving.push(executor.spawn(accept(
-                &traffic,
-                &executor,
-                listener,
-                internal(),
-                serve_metrics,
-            )));
-        }
-        serving.push(executor.spawn(Rc::clone(&exchange).run()));
+        let serving = spawn_servers(&traffic, &executor, self.listeners, account);
         stop.wait().await;
         for task in serving {
             task.cancel().await;
@@ -239,6 +182,71 @@
     }
 }
 
+/// Returns what handles the findings and events of the relay.
+fn observer(findings: Sender<Finding>, metrics: &EntryMetrics) -> Observer {
+    let report = move |finding| match finding {
+        Finding::Quarantined(content) => {
+            tracing::warn!(
+                content,
+                "request content crashed a leaf that ran nothing else"
+            );
+        }
+        finding => pass_on(&findings, finding),
+    };
+    let notices = metrics.leaf_notices.clone();
+    Observer {
+        on_finding: Box::new(report),
+        on_leaf_event: Box::new(move |event| {
+            notices.add(1, &[KeyValue::new("kind", event.label())]);
+        }),
+    }
+}
+
+/// Starts to serve callers, peers, the readiness check and the metrics.
+fn spawn_servers(
+    traffic: &Rc<Traffic>,
+    executor: &Rc<LocalExecutor<'static>>,
+    listeners: Listeners,
+    account: CallerAccount,
+) -> Vec<Task<()>> {
+    let internal = || CallerAccount::new(INTERNAL_LIMITS);
+    let callers = accept(traffic, executor, listeners.callers, account, serve_callers);
+    let shutdown = traffic.stopping.shutdown.clone();
+    let mut serving = vec![
+        // No connection is accepted whose request could be cut.
+        executor.spawn(callers.or(async move { shutdown.wait_ended().await })),
+        executor.spawn(accept(
+            traffic,
+            executor,
+            listeners.ready,
+            internal(),
+            serve_readiness,
+        )),
+    ];
+    let node = NodeServer {
+        queries: Some(capnp_rpc::new_client(QueryServer {
+            traffic: Rc::clone(traffic),
+        })),
+        exchange: Some(capnp_rpc::new_client(ExchangeServer {
+            exchange: Rc::clone(&traffic.exchange),
+        })),
+        ..NodeServer::default()
+    };
+    let peers = serve_fleet(listeners.queries, Rc::new(node), Rc::clone(executor));
+    serving.push(executor.spawn(peers));
+    if let Some(listener) = listeners.metrics {
+        serving.push(executor.spawn(accept(
+            traffic,
+            executor,
+            listener,
+            internal(),
+            serve_metrics,
+        )));
+    }
+    serving.push(executor.spawn(Rc::clone(&traffic.exchange).run()));
+    serving
+}
+
 /// Shows what callers hold, and what was closed or refused, in the metrics.
 fn observe(metrics: &Metrics, account: &CallerAccount) {
     let counters = [
