--- a/crates/guavacourse/src/modules/load_balancer.rs
+++ b/crates/guavacourse/src/modules/load_balancer.rs
@@ -10,11 +10,7 @@
     catalog::{KindEntry, LeafId, LeafKey, ShardKey},
     cleared::ClearedContents,
     collections::Map,
-    contention::{
-        late::LateQueries,
-        rates::{Evidence, ShardRates},
-        returns::Returns,
-    },
+    contention::{late::LateQueries, rates::ShardRates, returns::Returns},
     customers::AllowedRegions,
     delegation::Delegation,
     extra::{ExtraBudgets, ExtraLimits, ExtraReason},
@@ -25,7 +21,7 @@
     members::Member,
     placement::{
         counts::PlacementCounts, distances::Distances, load_board::LoadBoard,
-        load_report::LoadReport, outlook::ShardOutlook,
+        load_report::LoadReport,
     },
     query::plan::{Attempt, Slot},
     replicas::{Candidate, LeafStats, as_micros},
@@ -401,21 +397,6 @@
         }
     }
 
-    /// Updates the rate of calls to the shard of a leaf that did not answer in time and
-    /// whose load is not known. Without this, a process that runs only queries with a
-    /// short target gets no answer and never learns that calls wait.
-    fn observe_overdue(&mut self, leaf: LeafId, overdue: Duration, now: Time) {
-        let Some(shard) = self.view.catalog.leaf(leaf).map(|leaf| leaf.shard) else {
-            return;
-        };
-        let regions = AllowedRegions::default();
-        let outlook = self.shard_outlook(&self.view, shard, &regions, now);
-        if outlook.is_some_and(|outlook| outlook.avoided) {
-            self.rates
-                .observe(shard, (overdue, overdue), Evidence::Silence, now);
-        }
-    }
-
     /// Updates the statistics from the reply to a call for a request of `kind`.
     pub(crate) fn replied(&mut self, kind: &str, attempt: &Attempt, reply: &Reply, now: Time) {
         let link_failed = self.link_failed(attempt.relay, attempt.sent);
@@ -460,24 +441,6 @@
         self.observe_shard(attempt.leaf, now);
     }
 
-    /// Updates the rate of calls to the shard of a leaf that answered.
-    fn observe_shard(&mut self, leaf: LeafId, now: Time) {
-        let Some(shard) = self.view.catalog.leaf(leaf).map(|leaf| leaf.shard) else {
-            return;
-        };
-        let regions = AllowedRegions::default();
-        let outlook = self.shard_outlook(&self.view, shard, &regions, now);
-        if let Some(outlook) = outlook {
-            self.rates.answered(shard, now);
-            self.rates.observe(
-                shard,
-                (outlook.waiting, outlook.expected),
-                Evidence::Answer,
-                now,
-            );
-        }
-    }
-
     /// Returns the time after which a call to `leaf` is late, if it is known.
     pub(crate) fn late_after(&self, leaf: LeafId) -> Option<Duration> {
         let own = self.leaves.get(&leaf)?;
@@ -517,49 +480,6 @@
         opens.min().filter(|opens| *opens > now)
     }
 
-    /// Returns the outlook of a call to the best leaf of a shard that may be called.
-    /// Returns `None` if one of its leaves is unknown, and unless the leaves report their
-    /// pace or the configuration has customers.
-    #[must_use]
-    pub fn shard_outlook(
-        &self,
-        view: &View,
-        shard: ShardKey,
-        regions: &AllowedRegions,
-        now: Time,
-    ) -> Option<ShardOutlook> {
-        let shard = view.catalog.shards.get(shard)?;
-        let slots = view.catalog.services[shard.service].slots;
-        let mut enabled = false;
-        let mut best: Option<(bool, ShardOutlook)> = None;
-        for key in &shard.replicas {
-            let leaf = &view.catalog.leaves[*key];
-            let callable = leaf.state == LeafState::Serving
-                && !view.leaving.contains(&leaf.id)
-                && regions.allows(view.catalog.region(&leaf.data_centre));
-            if !callable {
-                continue;
-            }
-            let stats = self.leaves.get(&leaf.id)?;
-            enabled |= stats.reports_pace();
-            if self.opens_at(leaf.id, now).is_some() {
-                continue;
-            }
-            if stats.unknown() {
-                return None;
-            }
-            let outlook = ShardOutlook::of_leaf(stats, slots, now);
-            let avoided = stats.avoided(now) || stats.stalled(now);
-            let better = |(other, best): (bool, ShardOutlook)| {
-                (avoided, outlook.expected) < (other, best.expected)
-            };
-            if best.is_none_or(better) {
-                best = Some((avoided, ShardOutlook { avoided, ..outlook }));
-            }
-        }
-        best.filter(|_| enabled).map(|(_, outlook)| outlook)
-    }
-
     /// Lowers the limits of kinds that are worth less than one of which a query found no
     /// room, and that call one of the same services.
     pub(crate) fn lower_below(&mut self, view: &View, rules: &Kind, now: Time) {
--- a/crates/guavacourse/src/modules/placement/outlook.rs
+++ b/crates/guavacourse/src/modules/placement/outlook.rs
@@ -4,8 +4,14 @@
 
 use super::load_report::USUAL_PACE;
 use crate::modules::{
+    catalog::{LeafId, ShardKey},
+    contention::rates::Evidence,
+    customers::AllowedRegions,
+    inventory::LeafState,
+    load_balancer::LoadBalancer,
     replicas::{LeafStats, MAX_LOAD_AGE, as_micros},
     time::Time,
+    view::View,
 };
 
 /// Fraction of the elapsed time by which a queue is assumed to have shrunk since it was
@@ -87,6 +93,88 @@
     }
 }
 
+impl LoadBalancer {
+    /// Returns the outlook of a call to the best leaf of a shard that may be called.
+    /// Returns `None` if one of its leaves is unknown, and unless one reports its pace.
+    #[must_use]
+    pub fn shard_outlook(
+        &self,
+        view: &View,
+        shard: ShardKey,
+        regions: &AllowedRegions,
+        now: Time,
+    ) -> Option<ShardOutlook> {
+        let shard = view.catalog.shards.get(shard)?;
+        let slots = view.catalog.services[shard.service].slots;
+        let mut enabled = false;
+        let mut best: Option<(bool, ShardOutlook)> = None;
+        for key in &shard.replicas {
+            let leaf = &view.catalog.leaves[*key];
+            let callable = leaf.state == LeafState::Serving
+                && !view.leaving.contains(&leaf.id)
+                && regions.allows(view.catalog.region(&leaf.data_centre));
+            if !callable {
+                continue;
+            }
+            let stats = self.leaf(leaf.id)?;
+            enabled |= stats.reports_pace();
+            if self.opens_at(leaf.id, now).is_some() {
+                continue;
+            }
+            if stats.unknown() {
+                return None;
+            }
+            let outlook = ShardOutlook::of_leaf(stats, slots, now);
+            let avoided = stats.avoided(now) || stats.stalled(now);
+            let better = |(other, best): (bool, ShardOutlook)| {
+                (avoided, outlook.expected) < (other, best.expected)
+            };
+            if best.is_none_or(better) {
+                best = Some((avoided, ShardOutlook { avoided, ..outlook }));
+            }
+        }
+        best.filter(|_| enabled).map(|(_, outlook)| outlook)
+    }
+
+    /// Updates the rate of calls to the shard of a leaf that did not answer in time and
+    /// whose load is not known. Without this, a process that runs only queries with a
+    /// short target gets no answer and never learns that calls wait.
+    pub(in crate::modules) fn observe_overdue(
+        &mut self,
+        leaf: LeafId,
+        overdue: Duration,
+        now: Time,
+    ) {
+        let Some(shard) = self.view.catalog.leaf(leaf).map(|leaf| leaf.shard) else {
+            return;
+        };
+        let regions = AllowedRegions::default();
+        let outlook = self.shard_outlook(&self.view, shard, &regions, now);
+        if outlook.is_some_and(|outlook| outlook.avoided) {
+            self.rates
+                .observe(shard, (overdue, overdue), Evidence::Silence, now);
+        }
+    }
+
+    /// Updates the rate of calls to the shard of a leaf that answered.
+    pub(in crate::modules) fn observe_shard(&mut self, leaf: LeafId, now: Time) {
+        let Some(shard) = self.view.catalog.leaf(leaf).map(|leaf| leaf.shard) else {
+            return;
+        };
+        let regions = AllowedRegions::default();
+        let outlook = self.shard_outlook(&self.view, shard, &regions, now);
+        if let Some(outlook) = outlook {
+            self.rates.answered(shard, now);
+            self.rates.observe(
+                shard,
+                (outlook.waiting, outlook.expected),
+                Evidence::Answer,
+                now,
+            );
+        }
+    }
+}
+
 /// Returns how many calls in a row must end before one more gets a slot, if `ahead`
 /// calls are running or waiting.
 fn rounds(ahead: f64, slots: f64) -> f64 {
--- a/crates/guavacourse/tests/placement/sharing.rs
+++ b/crates/guavacourse/tests/placement/sharing.rs
@@ -8,6 +8,7 @@
     placement::{
         load_board::{LoadBoard, MAX_OBSERVATIONS, Observation},
         load_report::LoadReport,
+        outboxes::Outboxes,
     },
     time::Time,
 };
@@ -184,3 +185,28 @@
             < 0.01
     );
 }
+
+/// Guards against observations that only the process learns which is called first, and
+/// against a queue that grows for one that is gone.
+#[test]
+fn observations_wait_for_each_process() {
+    let at = |millis: u64| NOW.after(Duration::from_millis(millis));
+    let mut outboxes = Outboxes::default();
+    assert!(outboxes.due("a"));
+    assert!(outboxes.take("a", NOW).is_empty());
+    assert!(outboxes.take("b", NOW).is_empty());
+    assert!(!outboxes.due("a"));
+    let seen: Vec<Observation> = (0..3).map(|leaf| observation(leaf, 0)).collect();
+    outboxes.add(&seen, at(100));
+    for partner in ["a", "b"] {
+        assert!(outboxes.due(partner));
+        let taken = outboxes.take(partner, at(300));
+        assert_eq!(taken.len(), 3);
+        assert!(taken.iter().all(|o| o.age == Duration::from_millis(200)));
+    }
+    let many: Vec<Observation> = (0..500).map(|leaf| observation(leaf, 0)).collect();
+    outboxes.add(&many, at(400));
+    assert_eq!(outboxes.take("a", at(500)).len(), MAX_OBSERVATIONS);
+    outboxes.add(&seen, at(5_000));
+    assert!(outboxes.take("b", at(5_000)).is_empty());
+}
