--- a/crates/guavacourse/src/modules/quotas/tolerance.rs
+++ b/crates/guavacourse/src/modules/quotas/tolerance.rs
@@ -4,9 +4,14 @@
 
 use crate::modules::customers::Quota;
 
-/// Fraction of the tolerance by which the fleet exceeds a quota on purpose. While a third
-/// of the processes is cut off, the counts were wrong by 0.36 of the tolerance.
-const GRANTED_FRACTION: f64 = 0.4;
+/// Fraction of the slack by which the fleet exceeds a quota on purpose, and fraction of the
+/// quota that it grants. While a third of the processes is cut off and a customer sends
+/// several times its quota, the counts were too low by up to 0.14 of the quota.
+const GRANTED_SLACK: f64 = 0.4;
+const GRANTED_QUOTA: f64 = 0.95;
+
+/// Fraction of the tolerance that is kept for errors of the counts.
+const RESERVED_FRACTION: f64 = 0.6;
 
 /// Fractions of the burst and of the tolerance that are granted at once; the rest comes
 /// with a higher rate. The bound allows them in each window, a bucket with the given rate
@@ -43,16 +48,16 @@
         }
         let allowed = quota.rate * window + quota.burst;
         let tolerance = self.requests(quota);
-        let granted = allowed + tolerance * GRANTED_FRACTION;
+        let granted = allowed * GRANTED_QUOTA + self.slack * GRANTED_SLACK;
         let burst = quota.burst * BURST_FRACTION + tolerance * TOLERANCE_FRACTION;
         Quota {
-            rate: (granted - burst) / window,
+            rate: (granted - burst).max(0.0) / window,
             burst,
         }
     }
 
     /// Returns the requests in a window that are kept for errors of the counts.
     pub(super) fn reserved(&self, quota: &Quota) -> f64 {
-        self.requests(quota) * (1.0 - GRANTED_FRACTION)
+        self.requests(quota) * RESERVED_FRACTION
     }
 }
