--- a/crates/guavacourse/src/modules/quotas.rs
+++ b/crates/guavacourse/src/modules/quotas.rs
@@ -552,6 +552,13 @@
 ) -> Others {
     let mut others = Others::default();
     let (mut usual, mut silent) = (account.usual, 0.0);
+    let heard = heard_members(links, now);
+    // While processes are silent, reports take detours and time-outs.
+    let delay = if heard < members {
+        SILENCE
+    } else {
+        REPORT_DELAY
+    };
     for link in links.values() {
         let flow = link.flow(id);
         if !link.live(now) {
@@ -560,11 +567,10 @@
         }
         let age = link.heard.map_or(SILENCE, |heard| now.since(heard));
         others.demand += flow.demand;
-        others.unseen += flow.demand * age.max(REPORT_DELAY).as_secs_f64();
+        others.unseen += flow.demand * age.max(delay).as_secs_f64();
         usual += (flow.usual - flow.silent).max(0.0);
         silent += flow.silent;
     }
-    let heard = heard_members(links, now);
     others.covered = if heard >= members {
         1.0
     } else {
