--- a/crates/guavacourse/src/modules/quotas/reach.rs
+++ b/crates/guavacourse/src/modules/quotas/reach.rs
@@ -9,9 +9,10 @@
 const MAX_FAILURES: u32 = 2;
 
 /// Time for which a process is left out at first; it doubles with each further call that
-/// it does not answer, up to the maximum.
+/// it does not answer, up to the maximum. Longer ones would delay the exchange with a
+/// process that has only just become the first of its data centre.
 const MIN_PERIOD: Duration = Duration::from_secs(1);
-const MAX_PERIOD: Duration = Duration::from_secs(8);
+const MAX_PERIOD: Duration = Duration::from_secs(2);
 
 /// Processes that did not answer the last call.
 #[derive(Clone, Debug, Default)]
