fix(store): encode keys and prefixes in the targets of calls

What callers saw: while an entry with a name such as `i-1&x` stood among those of the leaves, and the list was longer than a page, almost no request was served after a restart of all processes.

Cause: the next page of a list is asked for after the last key of a page, and this key was copied into the query unencoded. The store read another key: `&` and `#` end it, `+` is a blank, `%61` is `a`. It returned the same page for ever, or skipped leaves. A blank, a control character or a letter outside ASCII is no target at all: the store refused the call with 400, and a process that started never learned its leaves.

Change: one function of the HTTP module percent-encodes text for a target, with the crate percent-encoding. Blanks become %20 and plus signs %2B, which a store decodes alike whether it reads a query as a form or not. Ordinary keys are sent as before.

--- a/crates/guavacourse/src/edge/http/mod.rs
+++ b/crates/guavacourse/src/edge/http/mod.rs
@@ -8,6 +8,7 @@
 
 mod account;
 mod client;
+mod encoding;
 mod head;
 mod message;
 mod receive_memory;
@@ -15,6 +16,7 @@
 
 pub use account::{CallerAccount, Cause, Seat};
 pub use client::{Connection, ExchangeError, call};
+pub use encoding::percent_encoded;
 pub use head::{MAX_HEAD_BYTES, MessageError};
 pub use message::{ResponseHead, Target, is_header_value, set_header, status};
 pub use receive_memory::ReceiveMemory;
