fix(platform): encode keys and names in calls to the platform's own interface

A key of the configuration holds the id that an operator's command gave it, and the path of a registration the name of an instance.

Cause: both were copied into the path unencoded. `#` and `?` end it, so that the store confused keys, and a process whose name holds one of them could not register (404).

Evidence: with the stand-in decoding and the client as it was, both tests failed: keys_of_any_characters_are_kept_apart (a conflict with another key) and a_process_of_any_name_registers (404). Both pass now.

--- a/crates/guavacourse/src/edge/platform.rs
+++ b/crates/guavacourse/src/edge/platform.rs
@@ -17,7 +17,7 @@
 use serde::Deserialize;
 use thiserror::Error;
 
-use super::http::{ExchangeError, call};
+use super::http::{ExchangeError, call, percent_encoded};
 use crate::modules::members::{Member, Role};
 
 /// Maximum time for an answer of the store while a caller waits; a watch may take
@@ -275,7 +275,7 @@
 
 impl Store for Calls<'_> {
     async fn get(&self, key: &str) -> Result<Option<VersionedValue>, PlatformError> {
-        let request = request(self.store.address, Method::Get, &format!("/kv/{key}"))?;
+        let request = request(self.store.address, Method::Get, &value_path(key))?;
         let mut response = self.send(request, self.store.timeout).await?;
         match response.status() {
             StatusCode::Ok => Ok(Some(read_value(&mut response).await?)),
@@ -290,7 +290,8 @@
         after: u64,
         wait: Duration,
     ) -> Result<WatchResult, PlatformError> {
-        let path = format!("/kv/{key}?after={after}&wait-ms={}", wait.as_millis());
+        let path = value_path(key);
+        let path = format!("{path}?after={after}&wait-ms={}", wait.as_millis());
         let request = request(self.store.address, Method::Get, &path)?;
         let mut response = self.send(request, wait + self.store.timeout).await?;
         match response.status() {
@@ -302,7 +303,7 @@
     }
 
     async fn put(&self, key: &str, value: Vec<u8>, if_version: u64) -> Result<u64, PlatformError> {
-        let mut request = request(self.store.address, Method::Put, &format!("/kv/{key}"))?;
+        let mut request = request(self.store.address, Method::Put, &value_path(key))?;
         request.insert_header("if-version", if_version.to_string());
         request.set_body(value);
         let response = self.send(request, self.store.timeout).await?;
@@ -313,7 +314,7 @@
     }
 
     async fn delete(&self, key: &str, if_version: u64) -> Result<(), PlatformError> {
-        let mut request = request(self.store.address, Method::Delete, &format!("/kv/{key}"))?;
+        let mut request = request(self.store.address, Method::Delete, &value_path(key))?;
         request.insert_header("if-version", if_version.to_string());
         let response = self.send(request, self.store.timeout).await?;
         match response.status() {
@@ -415,7 +416,8 @@
     }
 
     async fn register(&self, member: &Member) -> Result<(), PlatformError> {
-        let path = format!("/instances/{}/{}", member.name, role_name(member.role));
+        let name = percent_encoded(&member.name);
+        let path = format!("/instances/{name}/{}", role_name(member.role));
         let mut request = request(self.address, Method::Put, &path)?;
         let text =
             serde_json::to_string(member).map_err(|e| PlatformError::Protocol(e.to_string()))?;
@@ -429,6 +431,11 @@
     }
 }
 
+/// Returns the path of a key's value.
+fn value_path(key: &str) -> String {
+    format!("/kv/{}", percent_encoded(key))
+}
+
 /// Returns the name of a role in request paths.
 fn role_name(role: Role) -> &'static str {
     match role {
--- a/crates/standins/src/platform/routes.rs
+++ b/crates/standins/src/platform/routes.rs
@@ -8,6 +8,7 @@
     modules::{catalog::stable_hash, members::Member, time::Time},
 };
 use http_types::{Method, Request, Response, StatusCode, headers};
+use percent_encoding::percent_decode_str;
 use serde::Serialize;
 use smol::Timer;
 
@@ -41,7 +42,8 @@
 }
 
 async fn carry_out(shared: &Arc<Shared>, id: ConnectionId, mut request: Request) -> Response {
-    let path = request.url().path().to_owned();
+    let path = request.url().path();
+    let path = percent_decode_str(path).decode_utf8_lossy().into_owned();
     let segments: Vec<&str> = path.trim_start_matches('/').split('/').collect();
     if segments == ["faults"] {
         return set_faults(shared, id, &mut request).await;
--- a/crates/standins/tests/platform.rs
+++ b/crates/standins/tests/platform.rs
@@ -6,7 +6,10 @@
 };
 
 use guavacourse::{
-    edge::http::{ExchangeError, call},
+    edge::{
+        http::{ExchangeError, call},
+        platform::{HttpInstanceList, HttpStore, InstanceList, Store, VersionedValue},
+    },
     modules::members::{Member, MemberState, Role},
 };
 use guavacourse_standins::{Counters, Outage, Platform, PlatformFaults, PlatformSettings};
@@ -337,3 +340,41 @@
     let again = Platform::start(addr, &PlatformSettings::default());
     assert!(again.is_ok(), "the address is free again: {again:?}");
 }
+
+// Guards against keys that the store confuses, because part of a key is read as the query
+// or the fragment of the target.
+#[test]
+fn keys_of_any_characters_are_kept_apart() {
+    let harness = Harness::start();
+    let store = HttpStore::new(harness.platform.address());
+    let texts = ["&", "+", "#", "%", "%61", " ", "=", "?", "\"", "\r\n", "é"];
+    let keys = texts.map(|text| format!("config/1/a{text}b"));
+    block_on(async {
+        let mut versions = Vec::new();
+        for key in &keys {
+            let written = store.put(key, key.clone().into_bytes(), 0).await;
+            versions.push(written.expect("written"));
+        }
+        for (key, version) in keys.iter().zip(versions) {
+            let value = key.clone().into_bytes();
+            let stored = store.get(key).await.expect("read");
+            assert_eq!(stored, Some(VersionedValue { version, value }));
+            store.delete(key, version).await.expect("deleted");
+        }
+    });
+}
+
+#[test]
+fn a_process_of_any_name_registers() {
+    let harness = Harness::start();
+    let list = HttpInstanceList::new(harness.platform.address());
+    for name in ["a#b", "a?b", "a%2Fb", "a b", "a&b+c", "é"] {
+        let member = Member {
+            name: name.to_owned(),
+            ..Member::default()
+        };
+        block_on(list.register(&member)).expect("registered");
+        let listed = block_on(list.list()).expect("read");
+        assert!(listed.contains(&member), "{name}");
+    }
+}
