fix(platform): leave out single entries of the instance list that cannot be read

What callers saw: nothing so far; found by looking for the cause of the incident elsewhere. One entry of another writer in the instance list, and a process kept the list that it had read before, or never got one if it was just starting. An entry without a name counted as a process.

Cause: the list was decoded as a whole, so that one unreadable entry failed all of it.

Change: entries are decoded one by one. Those that cannot be read, or have no name, are left out and counted; their number and the first fault, cut to 200 bytes, are logged when the number changes.

--- a/crates/guavacourse/src/edge/control/list.rs
+++ b/crates/guavacourse/src/edge/control/list.rs
@@ -10,7 +10,7 @@
 };
 use crate::{
     edge::platform::InstanceList,
-    modules::{members::Member, read_budget::ReadBudget, time::Time},
+    modules::{members::Member, partial_list::PartialList, read_budget::ReadBudget, time::Time},
 };
 
 /// Minimum time between two heartbeats of a process.
@@ -54,6 +54,7 @@
     let mut reader = Reader {
         budget: ReadBudget::new(shared.read(|s| s.clock.now())),
         tag: String::new(),
+        unreadable: 0,
         shared,
     };
     match peers::fetch_first_members(&reader.shared).await {
@@ -78,6 +79,8 @@
     /// Tag of the last reading, if no difference was deferred to a later one;
     /// otherwise empty, so that the list is read in full.
     tag: String,
+    /// Number of unreadable entries in the last reading.
+    unreadable: u32,
 }
 
 impl Reader {
@@ -100,7 +103,8 @@
         match self.shared.list.list_since(&self.tag).await {
             Ok(Some(listing)) => {
                 self.spend(listing.bytes);
-                let settled = self.shared.merge_list(listing.members, requested_at);
+                self.report_unreadable(&listing.members);
+                let settled = self.shared.merge_list(listing.members.items, requested_at);
                 self.tag = if settled { listing.tag } else { String::new() };
             }
             Ok(None) => self.shared.update(|s| {
@@ -111,6 +115,22 @@
             Err(e) => tracing::warn!("cannot read the instance list: {e}; keeping the last one"),
         }
     }
+
+    /// Logs the entries that were left out of a reading, if their number has changed.
+    fn report_unreadable(&mut self, members: &PartialList<Member>) {
+        let PartialList {
+            unreadable, fault, ..
+        } = members;
+        if *unreadable > 0 && *unreadable != self.unreadable {
+            tracing::warn!(
+                unreadable,
+                fault,
+                "entries of the instance list cannot be read and are left out; correct or \
+                 remove them"
+            );
+        }
+        self.unreadable = *unreadable;
+    }
 }
 
 /// Returns the time between two calls that keeps the whole fleet within `rate`
--- a/crates/guavacourse/src/edge/platform.rs
+++ b/crates/guavacourse/src/edge/platform.rs
@@ -18,7 +18,10 @@
 use thiserror::Error;
 
 use super::http::{ExchangeError, call, percent_encoded};
-use crate::modules::members::{Member, Role};
+use crate::modules::{
+    members::{Member, Role},
+    partial_list::PartialList,
+};
 
 /// Maximum time for an answer of the store while a caller waits; a watch may take
 /// longer by its own wait.
@@ -129,8 +132,8 @@
 pub struct Listing {
     /// Entity tag of the reading; empty if the platform sent none.
     pub tag: String,
-    /// Every process and backend server in the list.
-    pub members: Vec<Member>,
+    /// Every process and backend server in the list whose entry can be read.
+    pub members: PartialList<Member>,
     /// Size of the answer's body in bytes.
     pub bytes: u32,
 }
@@ -146,7 +149,7 @@
     /// Returns why the platform gave no usable answer.
     async fn list(&self) -> Result<Vec<Member>, PlatformError> {
         let listing = self.list_since("").await?;
-        Ok(listing.unwrap_or_default().members)
+        Ok(listing.unwrap_or_default().members.items)
     }
 
     /// Returns the list, or `None` if it has not changed since the reading with
@@ -380,7 +383,7 @@
 #[derive(Debug, Default, Deserialize)]
 #[serde(default)]
 struct ListBody {
-    instances: Vec<Member>,
+    instances: PartialList<Member>,
 }
 
 impl HttpInstanceList {
@@ -406,8 +409,10 @@
         let tag = response.header(headers::ETAG);
         let tag = tag.map(|values| values.as_str().to_owned());
         let text = read_body(&mut response).await?;
-        let body: ListBody =
-            serde_json::from_slice(&text).map_err(|e| PlatformError::Protocol(e.to_string()))?;
+        let mut body: ListBody = serde_json::from_str(&String::from_utf8_lossy(&text))
+            .map_err(|e| PlatformError::Protocol(e.to_string()))?;
+        body.instances
+            .require(|member| !member.name.is_empty(), "it has no name");
         Ok(Some(Listing {
             tag: tag.unwrap_or_default(),
             members: body.instances,
--- a/crates/guavacourse/src/modules/mod.rs
+++ b/crates/guavacourse/src/modules/mod.rs
@@ -48,6 +48,7 @@
 pub mod merged_list;
 pub mod outcome;
 pub mod ownership;
+pub mod partial_list;
 pub mod placement;
 pub mod quarantine;
 pub mod query;
--- /dev/null
+++ b/crates/guavacourse/src/modules/partial_list.rs
@@ -0,0 +1,69 @@
+//! Lists in JSON whose items other writers may have spoilt.
+
+use serde::{Deserialize, Deserializer, de::DeserializeOwned};
+use serde_json::value::RawValue;
+
+/// Maximum size of the text of others that is logged, in bytes.
+const MAX_EXCERPT_BYTES: usize = 200;
+
+/// A list without the items that cannot be read.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PartialList<T> {
+    /// The items that can be read.
+    pub items: Vec<T>,
+    /// Number of items that were left out.
+    pub unreadable: u32,
+    /// What is wrong with the first of them; empty if there is none.
+    pub fault: String,
+}
+
+impl<T> Default for PartialList<T> {
+    fn default() -> Self {
+        Self {
+            items: Vec::new(),
+            unreadable: 0,
+            fault: String::new(),
+        }
+    }
+}
+
+impl<T> PartialList<T> {
+    /// Leaves out the items that are not valid either, for the reason `fault`.
+    pub fn require(&mut self, is_valid: impl Fn(&T) -> bool, fault: &str) {
+        let items = std::mem::take(&mut self.items);
+        for item in items {
+            if is_valid(&item) {
+                self.items.push(item);
+            } else {
+                self.leave_out(fault);
+            }
+        }
+    }
+
+    fn leave_out(&mut self, fault: &str) {
+        if self.unreadable == 0 {
+            excerpt(fault).clone_into(&mut self.fault);
+        }
+        self.unreadable += 1;
+    }
+}
+
+impl<'de, T: DeserializeOwned> Deserialize<'de> for PartialList<T> {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let raw = Vec::<Box<RawValue>>::deserialize(deserializer)?;
+        let mut list = Self::default();
+        for item in raw {
+            match serde_json::from_str(item.get()) {
+                Ok(item) => list.items.push(item),
+                Err(error) => list.leave_out(&error.to_string()),
+            }
+        }
+        Ok(list)
+    }
+}
+
+/// Returns the start of a text that others wrote, as much of it as is logged.
+#[must_use]
+pub fn excerpt(text: &str) -> &str {
+    &text[..text.floor_char_boundary(MAX_EXCERPT_BYTES)]
+}
