fix(directory): bound what is logged and kept of entries that cannot be read

What callers saw: nothing so far; found by checking how entries of other writers are read. An entry whose value is an unknown state of a megabyte was logged whole and kept in memory, one that changed with each heartbeat was logged each time, and with more than 4,096 odd entries each reading of the list logged them all again.

Cause: the fault names the text that was found, each new fault counted as news, and the memory of reported faults was emptied when it was full.

Change: 200 bytes of key and fault are kept and logged, at most 4 faults of an entry and 256 entries. The others are counted, in the new metric unreadable_entries. A whole reading makes room for entries that it no longer holds.

Evidence: reports_of_unreadable_entries_are_bounded failed before (200,000 bytes of key and fault; with that line passed over, 1,000 reports of one entry).

--- a/crates/guavacourse/src/edge/gateway/follow.rs
+++ b/crates/guavacourse/src/edge/gateway/follow.rs
@@ -14,6 +14,10 @@
     collections::VecDeque,
     net::TcpListener,
     rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -72,6 +76,8 @@
     pub(super) findings: Receiver<Finding>,
     /// To the traffic thread.
     pub(super) freshness: Freshness,
+    /// Number of times that an entry of the registry could not be read, for the metrics.
+    pub(super) unreadable: Arc<AtomicU64>,
 }
 
 /// Runs the control thread until `stop`, then ends the registration.
@@ -429,6 +435,8 @@
         for event in directory.take_events() {
             events::log(&event);
         }
+        let unreadable = directory.unreadable();
+        self.setup.unreadable.store(unreadable, Ordering::Relaxed);
         let changes = directory.take_changes();
         if different {
             self.publish(&directory, now);
--- a/crates/guavacourse/src/edge/gateway/mod.rs
+++ b/crates/guavacourse/src/edge/gateway/mod.rs
@@ -24,7 +24,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -144,6 +147,11 @@
         metrics.observe_counter("log_lines_dropped", move || {
             u64::try_from(dropped.dropped_lines()).unwrap_or(u64::MAX)
         });
+        let unreadable = Arc::<AtomicU64>::default();
+        let unreadable_total = Arc::clone(&unreadable);
+        metrics.observe_counter("unreadable_entries", move || {
+            unreadable_total.load(Ordering::Relaxed)
+        });
         let (findings, received) = follow::findings::channel();
         let freshness = freshness::Freshness::default();
         let setup = serve::Setup {
@@ -166,6 +174,7 @@
             listener: listen::bind(config.feed)?,
             findings: received,
             freshness,
+            unreadable,
         };
         let control = Worker::spawn("control", |executor, stop| {
             follow::run(follower, registry, executor, stop)
--- a/crates/guavacourse/src/modules/directory.rs
+++ b/crates/guavacourse/src/modules/directory.rs
@@ -8,13 +8,14 @@
 
 mod fleet;
 mod records;
+mod unreadable;
 
 use std::{sync::Arc, time::Duration};
 
-use self::fleet::Fleet;
 pub use self::records::{
     Change, Deployment, DirectoryEvent, FirstReading, LeafRecord, RegistryReading,
 };
+use self::{fleet::Fleet, unreadable::UnreadableEntries};
 use super::{
     catalog::{Catalog, LeafId},
     collections::{Map, Set},
@@ -37,7 +38,7 @@
 const RESTORE_GRACE: Duration = Duration::from_secs(6);
 
 /// Maximum number of removed leaves that are remembered, so that an old entry does
-/// not bring them back. Also bounds the remembered unreadable entries.
+/// not bring them back.
 const MAX_REMEMBERED: usize = 4_096;
 
 /// Added before truncation, so that a product that should be a whole number is
@@ -77,8 +78,8 @@
     restores: u64,
     /// Time until which entries that the older copy lacks are kept.
     restored_until: Option<Time>,
-    /// Faults of the entries that cannot be read, by key.
-    unreadable: Map<String, String>,
+    /// Entries that cannot be read.
+    unreadable: UnreadableEntries,
     events: Vec<DirectoryEvent>,
     /// Changes since the last call of [`Self::take_changes`].
     changes: Vec<Change>,
@@ -161,7 +162,7 @@
             Change::Evacuated(data_centre) => self.evacuate(data_centre),
             Change::EvacuationEnded(data_centre) => self.evacuation_missing(&data_centre, now),
             Change::Unreadable { key, fault } => {
-                self.record_unreadable(key, fault);
+                self.events.extend(self.unreadable.record(&key, &fault));
                 false
             }
         }
@@ -175,6 +176,7 @@
         let mut members = Set::default();
         let mut crashes = Set::default();
         let mut evacuated = Set::default();
+        let mut unreadable = Set::default();
         let mut changed = false;
         for change in reading.changes {
             match &change {
@@ -184,10 +186,12 @@
                     crashes.insert((report.content, report.leaf.clone()));
                 }
                 Change::Evacuated(data_centre) => drop(evacuated.insert(data_centre.clone())),
+                Change::Unreadable { key, .. } => drop(unreadable.insert(key.clone())),
                 _ => {}
             }
             changed |= self.apply(change, now);
         }
+        self.unreadable.retain(&unreadable);
         let missing = self.leaves.keys().filter(|name| !leaves.contains(*name));
         let missing: Vec<String> = missing.cloned().collect();
         for name in missing {
@@ -311,6 +315,12 @@
         Shares::new(&self.own, self.members(), services.cloned().collect())
     }
 
+    /// Returns the number of times that an entry of the registry could not be read.
+    #[must_use]
+    pub fn unreadable(&self) -> u64 {
+        self.unreadable.count()
+    }
+
     /// Returns until when each leaf that is leaving may still be called.
     #[must_use]
     pub fn draining(&self) -> Map<LeafId, Time> {
@@ -475,17 +485,6 @@
             .push(DirectoryEvent::EvacuationEnded { data_centre });
     }
 
-    fn record_unreadable(&mut self, key: String, fault: String) {
-        if self.unreadable.get(&key) == Some(&fault) {
-            return;
-        }
-        if self.unreadable.len() >= MAX_REMEMBERED {
-            self.unreadable.clear();
-        }
-        self.unreadable.insert(key.clone(), fault.clone());
-        self.events.push(DirectoryEvent::Unreadable { key, fault });
-    }
-
     fn deploy(&mut self, deployment: Deployment) -> bool {
         let held = self.version();
         let offered = deployment.version;
--- a/crates/guavacourse/tests/directory.rs
+++ b/crates/guavacourse/tests/directory.rs
@@ -196,6 +196,38 @@
     );
 }
 
+// Guards against entries of other writers that fill the log, or the memory: a text of any
+// length in one, one that changes without end, or any number of them.
+#[test]
+fn reports_of_unreadable_entries_are_bounded() {
+    let mut directory = directory();
+    directory.take_events();
+    let unreadable = |key: String, fault: String| Change::Unreadable { key, fault };
+    let long = "é".repeat(100_000);
+    directory.apply(unreadable(long.clone(), long), at(1));
+    let events = directory.take_events();
+    let [DirectoryEvent::Unreadable { key, fault }] = events.as_slice() else {
+        panic!("one event: {}", events.len());
+    };
+    assert_eq!((key.len(), fault.len()), (200, 200));
+    for number in 0..1_000 {
+        directory.apply(unreadable("k".to_owned(), format!("fault {number}")), at(2));
+    }
+    assert_eq!(directory.take_events().len(), 4);
+    for _ in 0..2 {
+        for number in 0..10_000 {
+            directory.apply(unreadable(format!("k-{number}"), "bad".to_owned()), at(3));
+        }
+    }
+    assert_eq!(directory.take_events().len(), 254);
+    assert_eq!(directory.unreadable(), 21_001);
+    // Room for others once a whole reading does not hold them.
+    directory.replace(reading(&["a", "b"]), at(4));
+    directory.apply(unreadable("k-1".to_owned(), "bad".to_owned()), at(5));
+    let reported = |event: &DirectoryEvent| matches!(event, DirectoryEvent::Unreadable { .. });
+    assert!(directory.take_events().iter().any(reported));
+}
+
 #[test]
 fn each_change_is_passed_to_followers_once() {
     let mut directory = directory();
