fix(store): leave out single items of lists and events that cannot be read

What callers saw: nothing so far; found by checking how entries of other writers are read. One item of another form in a page of the store's list, and a process that started learned nothing and refused all requests; one in the events of a watch, and a running process no longer saw any change.

Cause: a page was decoded as a whole, so that one unreadable item failed all of it.

Change: the items of a page and the events of a watch are decoded one by one, as the entries of the instance list are. Those that cannot be read are left out, counted and logged once.

--- a/crates/guavacourse/src/modules/partial_list.rs
+++ b/crates/guavacourse/src/modules/partial_list.rs
@@ -40,6 +40,15 @@
         }
     }
 
+    /// Adds the items of another list.
+    pub fn append(&mut self, other: Self) {
+        self.items.extend(other.items);
+        if self.unreadable == 0 {
+            self.fault = other.fault;
+        }
+        self.unreadable += other.unreadable;
+    }
+
     fn leave_out(&mut self, fault: &str) {
         if self.unreadable == 0 {
             excerpt(fault).clone_into(&mut self.fault);
