fix(store): end lists whose pages do not move on

What callers saw: nothing so far; found by checking the readings of the store.

Cause: nothing but the store's word ended a list.

What was read is used, and changes are followed from there; what was not listed does not count as missing, and the list is read again every 5 s.

--- a/crates/guavacourse/src/edge/gateway/follow.rs
+++ b/crates/guavacourse/src/edge/gateway/follow.rs
@@ -41,7 +41,7 @@
     },
     modules::{
         crash_evidence::{CrashReport, Finding},
-        directory::{Change, Directory, FirstReading, RegistryReading},
+        directory::{Change, Directory, ListReading, RegistryReading},
         era::Position,
         inventory::Address,
         journal::Journal,
@@ -59,6 +59,9 @@
 /// Interval between renewals of the registration: a third of its lease.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(4);
 
+/// Interval between readings of a list that does not end.
+const RELIST_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Delay before the sources are asked again if none was up to date.
 const SOURCE_RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -149,9 +152,24 @@
 struct ReadState {
     /// Position to watch from; `None` until the whole registry was read.
     after: Option<Position>,
+    /// When to list the registry again; `None` if all of it was listed.
+    list_again: Option<Time>,
     backoff: Backoff,
 }
 
+impl ReadState {
+    /// Records whether the list that was read at `now` holds the whole registry.
+    fn record_list(&mut self, whole: bool, now: Time) {
+        if !whole && self.list_again.is_none() {
+            tracing::warn!(
+                "the list of the registry does not end; what was read is used, and it is read \
+                 again every {RELIST_INTERVAL:?}; look for a fault of the store"
+            );
+        }
+        self.list_again = (!whole).then(|| now.after(RELIST_INTERVAL));
+    }
+}
+
 impl<R: Registry> Follower<R> {
     fn new(setup: Setup, registry: R, executor: &Rc<LocalExecutor<'static>>) -> Self {
         let config = &setup.config;
@@ -203,7 +221,7 @@
     /// that cannot is not ready before it has read the rest.
     async fn read_first(&self, state: &mut ReadState) {
         match self.registry.read_first().await {
-            Ok(FirstReading {
+            Ok(ListReading {
                 mut reading,
                 whole: true,
             }) => {
@@ -212,7 +230,7 @@
                 self.add_newer_version(&mut reading).await;
                 self.apply_reading(reading, position, true, self.setup.clock.now());
             }
-            Ok(FirstReading { mut reading, .. }) => {
+            Ok(ListReading { mut reading, .. }) => {
                 let members = reading.changes.iter().filter_map(Change::member);
                 let plan = self.readers.plan(members);
                 if !plan.start_wait.is_zero() {
@@ -250,23 +268,35 @@
         let known = self.position.get();
         // Peers may have brought this process further than its own readings did.
         state.after = state.after.map(|after| after.max(known));
+        if state.list_again.is_some_and(|due| started >= due) {
+            state.after = None;
+        }
+        let lists = state.after.is_none();
         let read = match state.after {
             None => self.registry.read().await,
-            Some(after) => self.registry.watch(after, wait).await,
+            Some(after) => self.registry.watch(after, wait).await.map(|reading| {
+                let whole = false;
+                ListReading { reading, whole }
+            }),
         };
         match read {
-            Ok(reading) if self.was_overtaken(known, self.position_of(&reading)) => {
+            Ok(ListReading { reading, .. })
+                if self.was_overtaken(known, self.position_of(&reading)) =>
+            {
                 state.after = None;
                 self.end_cut_off();
             }
-            Ok(mut reading) => {
+            Ok(ListReading { mut reading, whole }) => {
                 state.backoff.reset();
                 self.end_cut_off();
-                let (whole, position) = (state.after.is_none(), self.position_of(&reading));
+                let position = self.position_of(&reading);
                 let changed = !reading.changes.is_empty();
                 state.after = state.after.max(Some(position));
+                if lists {
+                    state.record_list(whole, started);
+                }
                 // Changes made during a reading of several pages may be missing from it.
-                let fresh_at = if whole {
+                let fresh_at = if lists {
                     started
                 } else {
                     self.setup.clock.now()
--- a/crates/guavacourse/src/edge/gateway/registry.rs
+++ b/crates/guavacourse/src/edge/gateway/registry.rs
@@ -6,7 +6,7 @@
 
 use crate::modules::{
     crash_evidence::{CrashReport, CrashedLeaf},
-    directory::{FirstReading, RegistryReading},
+    directory::{ListReading, RegistryReading},
     era::Position,
 };
 
@@ -27,12 +27,12 @@
 
 /// The platform's registry of the configuration, the leaves and the fleet.
 pub trait Registry {
-    /// Reads the configuration and the processes of the fleet, in as few calls as
-    /// possible.
-    fn read_first(&self) -> impl Future<Output = Result<FirstReading, RegistryError>>;
+    /// Reads the configuration and the processes of the fleet, but maybe not all leaves,
+    /// in as few calls as possible.
+    fn read_first(&self) -> impl Future<Output = Result<ListReading, RegistryError>>;
 
-    /// Reads the whole registry.
-    fn read(&self) -> impl Future<Output = Result<RegistryReading, RegistryError>>;
+    /// Reads the whole registry, or as much of it as can be listed.
+    fn read(&self) -> impl Future<Output = Result<ListReading, RegistryError>>;
 
     /// Waits for changes after a position, at most `wait`. Fails with
     /// [`RegistryError::Restored`] if the registry is in another era than `after`, even if
--- a/crates/guavacourse/src/modules/directory/records.rs
+++ b/crates/guavacourse/src/modules/directory/records.rs
@@ -133,10 +133,10 @@
     }
 }
 
-/// What the first call of a process to the registry returned.
+/// What a call that lists the registry returned.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct FirstReading {
-    /// The configuration and all processes of the fleet, but maybe not all leaves.
+pub struct ListReading {
+    /// The whole content, or the part of it that was listed.
     pub reading: RegistryReading,
     /// Whether it holds the whole registry.
     pub whole: bool,
