fix(http): leave out single headers of responses that cannot be read

What callers saw: 502 where all leaves of a service send a header that is not UTF-8, such as `X-Note: \xff`, though it concerns no caller. The same from the platform's own interface and its leaves for a header that is not ASCII.

Cause: one header that could not be converted failed the whole response.

Change: a header of a response that is not UTF-8 is read with replacement characters, which none of the headers in use accepts; one that is not ASCII is left out of a response of the product's own interface. Requests are checked as before.

--- a/crates/guavacourse/src/edge/http/head.rs
+++ b/crates/guavacourse/src/edge/http/head.rs
@@ -1,7 +1,7 @@
 //! Reads whole HTTP/1.1 messages and rejects ambiguous ones. Headers are parsed
 //! by `httparse`.
 
-use std::{future::poll_fn, io, pin::Pin, task::Poll};
+use std::{borrow::Cow, future::poll_fn, io, pin::Pin, task::Poll};
 
 use futures_lite::AsyncRead;
 use thiserror::Error;
@@ -353,8 +353,12 @@
         close: false,
     };
     for header in headers {
-        let value = std::str::from_utf8(header.value)
-            .map_err(|_| MessageError::Header(format!("header {} is not UTF-8", header.name)))?;
+        let value = String::from_utf8_lossy(header.value);
+        if kind == MessageKind::Request && matches!(value, Cow::Owned(_)) {
+            let message = format!("header {} is not UTF-8", header.name);
+            return Err(MessageError::Header(message));
+        }
+        let value = value.as_ref();
         let is = |name: &str| header.name.eq_ignore_ascii_case(name);
         if is("content-length") {
             if length.is_some() {
--- a/crates/guavacourse/src/edge/http/message.rs
+++ b/crates/guavacourse/src/edge/http/message.rs
@@ -102,7 +102,7 @@
     })
 }
 
-/// Builds a response from its head and body.
+/// Builds a response from its head and body. A header that is not ASCII is left out.
 pub(super) fn response(head: &ResponseHead, body: Vec<u8>) -> Result<Response, MessageError> {
     let mut response = Response::new(status(head.status)?);
     response.set_body(body);
@@ -112,8 +112,9 @@
             name,
             value: value.as_bytes(),
         };
-        let (name, value) = convert_header(&header)?;
-        response.append_header(name, value);
+        if let Ok((name, value)) = convert_header(&header) {
+            response.append_header(name, value);
+        }
     }
     Ok(response)
 }
--- a/crates/guavacourse/tests/http_edge.rs
+++ b/crates/guavacourse/tests/http_edge.rs
@@ -515,6 +515,15 @@
     insta::assert_snapshot!(seen.join("\n\n"));
 }
 
+// Guards against a response that is lost because of one header.
+#[test]
+fn a_header_that_is_not_ascii_leaves_the_others_in_use() {
+    let reply = "HTTP/1.1 200 OK\r\nx-note: é\r\nversion: 7\r\ncontent-length: 2\r\n\r\nhi";
+    let response = exchange_with_reply(reply).expect("a response");
+    assert_eq!(response.header("version").expect("kept").as_str(), "7");
+    assert!(response.header("x-note").is_none());
+}
+
 #[test]
 fn unreachable_server() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
