--- a/crates/guavacourse/tests/directory.rs
+++ b/crates/guavacourse/tests/directory.rs
@@ -228,6 +228,35 @@
     assert!(directory.take_events().iter().any(reported));
 }
 
+// A change that a peer cannot read would cost it all others of the same message.
+#[test]
+fn records_of_any_values_reach_peers() {
+    let texts = ["", "\0\r\n\u{7f}", "\"'\\", "\u{2028}é🌧", "0s"];
+    let times = [
+        Duration::ZERO,
+        Duration::from_nanos(1),
+        Duration::from_secs_f64(1e-3 / 3.0),
+        Duration::from_secs(u64::MAX),
+        Duration::MAX,
+    ];
+    for (text, cold) in texts.into_iter().zip(times) {
+        let record = LeafRecord {
+            name: text.to_owned(),
+            service: text.to_owned(),
+            data_centre: text.to_owned(),
+            slots: u32::MAX,
+            born: u64::MAX,
+            sequence: u64::MAX,
+            cold,
+            ..record("a", 1, 2)
+        };
+        let change = Change::Leaf(record);
+        let sent = serde_json::to_vec(&change).expect("encoded");
+        let received: Change = serde_json::from_slice(&sent).expect("decoded");
+        assert_eq!(received, change);
+    }
+}
+
 #[test]
 fn each_change_is_passed_to_followers_once() {
     let mut directory = directory();
