fix(http): bound the size line of a chunk

What callers saw: beside one leaf that sent a chunk extension without end, requests for other services got no answer for as long as it lasted; the process was at a full core.

Cause: the line with the size of a chunk is parsed again from its start with each read of 2 KB until it is complete, and nothing but the bound of the whole body, 8 MB, ended it: some 16 GB were parsed for each such answer, on the thread that serves callers. Requests in chunks went the same way, with the bound of their bodies.

Change: a line of over 1,024 bytes makes the message invalid.

--- a/crates/guavacourse/src/edge/http/head.rs
+++ b/crates/guavacourse/src/edge/http/head.rs
@@ -12,6 +12,10 @@
 /// Maximum number of headers in a message.
 pub(super) const MAX_HEADERS: usize = 64;
 
+/// Maximum size of the line with the size of a chunk and its extensions, in bytes. An
+/// incomplete line is parsed again with each read.
+const MAX_CHUNK_LINE_BYTES: usize = 1024;
+
 /// Maximum number of bytes per read from the socket.
 const READ_BYTES: usize = 2 * 1024;
 
@@ -49,7 +53,8 @@
     /// A response without a length where one is required.
     #[error("the response has no content-length and is not chunked; send its length")]
     LengthRequired,
-    /// The syntax of a chunk is invalid, or trailers follow the chunks.
+    /// The syntax of a chunk is invalid, its size line is too long, or trailers follow the
+    /// chunks.
     #[error("a chunk of the body is not valid; send its size in hexadecimal, then its bytes")]
     Chunk,
     /// The messages that are being read together take too much memory.
@@ -226,10 +231,14 @@
             let rest = &buf[position..];
             match self.next {
                 Next::Size => {
-                    let parsed = httparse::parse_chunk_size(rest);
-                    let parsed = parsed.map_err(|_| MessageError::Chunk)?;
-                    let httparse::Status::Complete((line, size)) = parsed else {
-                        break;
+                    let start = &rest[..rest.len().min(MAX_CHUNK_LINE_BYTES)];
+                    let parsed = httparse::parse_chunk_size(start);
+                    let (line, size) = match parsed.map_err(|_| MessageError::Chunk)? {
+                        httparse::Status::Complete(parsed) => parsed,
+                        httparse::Status::Partial if start.len() == MAX_CHUNK_LINE_BYTES => {
+                            return Err(MessageError::Chunk);
+                        }
+                        httparse::Status::Partial => break,
                     };
                     position += line;
                     self.next = match usize::try_from(size).map_err(|_| MessageError::Chunk)? {
--- a/crates/guavacourse/tests/http_edge.rs
+++ b/crates/guavacourse/tests/http_edge.rs
@@ -515,6 +515,19 @@
     insta::assert_snapshot!(seen.join("\n\n"));
 }
 
+#[test]
+fn size_lines_of_chunks_are_bounded() {
+    let reply = |extension: usize| {
+        let text = ";".repeat(extension);
+        exchange_with_reply(&format!(
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2{text}\r\nhi\r\n0\r\n\r\n"
+        ))
+    };
+    assert!(reply(1_021).is_ok());
+    assert!(matches!(reply(1_022), Err(ExchangeError::Malformed(_))));
+    assert!(matches!(reply(100_000), Err(ExchangeError::Malformed(_))));
+}
+
 // Guards against a response that is lost because of one header.
 #[test]
 fn a_header_that_is_not_ascii_leaves_the_others_in_use() {
