fix(store): bound the memory of the items of an answer

A page of 4 MB with 190,000 items that hold little but a key took 104 MB, over half of the memory of the smallest machine.

Cause: the bound of a list looked at whole pages and only at their keys and values, and items that cannot be read were kept until the page was read.

--- a/crates/guavacourse/src/modules/partial_list.rs
+++ b/crates/guavacourse/src/modules/partial_list.rs
@@ -1,6 +1,11 @@
 //! Lists in JSON whose items other writers may have spoilt.
 
-use serde::{Deserialize, Deserializer, de::DeserializeOwned};
+use std::{fmt, marker::PhantomData};
+
+use serde::{
+    Deserialize, Deserializer,
+    de::{DeserializeOwned, SeqAccess, Visitor},
+};
 use serde_json::value::RawValue;
 
 /// Maximum size of the text of others that is logged, in bytes.
@@ -59,9 +64,23 @@
 
 impl<'de, T: DeserializeOwned> Deserialize<'de> for PartialList<T> {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        let raw = Vec::<Box<RawValue>>::deserialize(deserializer)?;
-        let mut list = Self::default();
-        for item in raw {
+        deserializer.deserialize_seq(ItemVisitor(PhantomData))
+    }
+}
+
+/// Reads the items one by one, so that those left out take no memory.
+struct ItemVisitor<T>(PhantomData<T>);
+
+impl<'de, T: DeserializeOwned> Visitor<'de> for ItemVisitor<T> {
+    type Value = PartialList<T>;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("a list")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut items: A) -> Result<Self::Value, A::Error> {
+        let mut list = PartialList::default();
+        while let Some(item) = items.next_element::<Box<RawValue>>()? {
             match serde_json::from_str(item.get()) {
                 Ok(item) => list.items.push(item),
                 Err(error) => list.leave_out(&error.to_string()),
