fix(fleet): accept messages of 9 MB from peers, not of 16 MB

Four processes of the fleet that sent messages of 16 MB without end, on all connections to a process, took 95,440 KiB of its memory, over half of that of the smallest machine (160 MB).

Cause: the bound of a message was twice the largest response of a leaf, and each connection holds one message that is being received.

Change: the bound is the largest response and 1 MB. More connections than those of the test still take up to 9 MB each; there is no bound for all of them together.

--- a/crates/guavacourse/src/edge/fleet.rs
+++ b/crates/guavacourse/src/edge/fleet.rs
@@ -24,9 +24,9 @@
 /// Maximum time to open a connection to another process.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Largest message of another process, in words of 8 bytes: 16 MB, twice the largest
-/// response of a leaf. Its memory is reserved once its sizes have arrived.
-const MAX_MESSAGE_WORDS: usize = 2 * 1024 * 1024;
+/// Largest message of another process, in words of 8 bytes: 9 MB, the largest response of
+/// a leaf and 1 MB. Its memory is reserved once its sizes have arrived.
+const MAX_MESSAGE_WORDS: usize = 9 * 128 * 1024;
 
 /// A connection to another process. Dropping it closes the connection.
 pub(crate) struct Link {
