fix(store): quote only the start of an answer in errors

What callers saw: nothing so far; found by checking what is logged of outside texts. The error of an answer that could not be decoded held all of a text in it, up to 4 MB, and was logged.

Cause: decoders quote what they found.

--- a/crates/guavacourse/src/edge/control/store.rs
+++ b/crates/guavacourse/src/edge/control/store.rs
@@ -186,7 +186,7 @@
 /// is older or conflicting, and returns its stamp.
 async fn adopt_head(shared: &Shared, value: &VersionedValue) -> Result<Stamp, PlatformError> {
     let head: Head = serde_json::from_slice(&value.value)
-        .map_err(|e| PlatformError::Protocol(format!("an invalid configuration head: {e}")))?;
+        .map_err(|e| PlatformError::malformed("an invalid configuration head", &e))?;
     let Some(accepted) = head.current() else {
         return Ok(Stamp::default());
     };
--- a/crates/guavacourse/src/edge/operator.rs
+++ b/crates/guavacourse/src/edge/operator.rs
@@ -56,7 +56,7 @@
         return Ok((0, Head::default()));
     };
     let head = serde_json::from_slice(&value.value)
-        .map_err(|e| PlatformError::Protocol(format!("an invalid configuration head: {e}")))?;
+        .map_err(|e| PlatformError::malformed("an invalid configuration head", &e))?;
     Ok((value.version, head))
 }
 
--- a/crates/guavacourse/src/edge/platform.rs
+++ b/crates/guavacourse/src/edge/platform.rs
@@ -20,7 +20,7 @@
 use super::http::{ExchangeError, call, percent_encoded};
 use crate::modules::{
     members::{Member, Role},
-    partial_list::PartialList,
+    partial_list::{PartialList, excerpt},
 };
 
 /// Maximum time for an answer of the store while a caller waits; a watch may take
@@ -60,6 +60,12 @@
 }
 
 impl PlatformError {
+    /// Returns the error of an answer that cannot be decoded. The decoder's error may quote
+    /// the answer, so only its start is kept.
+    pub(crate) fn malformed(what: &str, error: &serde_json::Error) -> Self {
+        Self::Protocol(format!("{what}: {}", excerpt(&error.to_string())))
+    }
+
     /// Returns whether a write may have taken effect despite the error.
     #[must_use]
     pub fn may_have_applied(&self) -> bool {
@@ -410,7 +416,7 @@
         let tag = tag.map(|values| values.as_str().to_owned());
         let text = read_body(&mut response).await?;
         let mut body: ListBody = serde_json::from_str(&String::from_utf8_lossy(&text))
-            .map_err(|e| PlatformError::Protocol(e.to_string()))?;
+            .map_err(|e| PlatformError::malformed("an invalid instance list", &e))?;
         body.instances
             .require(|member| !member.name.is_empty(), "it has no name");
         Ok(Some(Listing {
