--- a/crates/guavacourse/src/edge/gateway/follow.rs
+++ b/crates/guavacourse/src/edge/gateway/follow.rs
@@ -274,10 +274,13 @@
         let lists = state.after.is_none();
         let read = match state.after {
             None => self.registry.read().await,
-            Some(after) => self.registry.watch(after, wait).await.map(|reading| {
-                let whole = false;
-                ListReading { reading, whole }
-            }),
+            Some(after) => {
+                let read = self.registry.watch(after, wait).await;
+                read.map(|reading| ListReading {
+                    reading,
+                    whole: false,
+                })
+            }
         };
         match read {
             Ok(ListReading { reading, .. })
