fix(http): accept legal bodies in very small chunks

Callers saw 413, which is never retried, for a body of the largest legal size in chunks of 1 to 4 bytes. The cause: `read_body` bounded what arrives, framing included, by twice the largest body. Chunks of one byte have five bytes of framing each.

The sizes of the chunks are now added up and compared with the limit: a body over it is rejected as soon as a size shows it, not once its bytes have arrived. Framing is decoded in place and takes no memory; what bounds it is the time in which a request must arrive. Because a request may now have any amount of framing, framing no longer counts as progress: a caller that sends framing would otherwise outrank one that sends its body. Responses keep their bound of twice the largest body, because leaves in trouble send chunks without end.

`chunks_that_announce_too_much_are_refused_before_their_bytes_arrive` and `framing_is_no_progress` failed before.

--- a/crates/guavacourse/src/edge/http/client.rs
+++ b/crates/guavacourse/src/edge/http/client.rs
@@ -13,7 +13,7 @@
 use thiserror::Error;
 
 use super::{
-    head::{Framing, MAX_HEAD_BYTES, MessageError, MessageKind, read_body, read_head},
+    head::{BodyLimit, Framing, MAX_HEAD_BYTES, MessageError, MessageKind, read_body, read_head},
     message::{self, ResponseHead},
     receive_memory::ReceiveMemory,
 };
@@ -156,7 +156,7 @@
             &mut self.stream,
             &mut self.buf,
             head,
-            MAX_BODY_BYTES,
+            BodyLimit::of_response(MAX_BODY_BYTES),
             &mut share,
         );
         let end = read.await.map_err(|error| {
--- a/crates/guavacourse/src/edge/http/head.rs
+++ b/crates/guavacourse/src/edge/http/head.rs
@@ -101,14 +101,52 @@
     pub close: bool,
 }
 
-/// Accounts for the memory of the message that is being read.
+/// Largest body of a message.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) struct BodyLimit {
+    /// Bytes that a length may announce.
+    length: usize,
+    /// Bytes that chunks may add up to.
+    chunks: usize,
+    /// Bytes that are read, including the framing of chunks.
+    received: usize,
+}
+
+impl BodyLimit {
+    /// Limits the body of a request to `size` bytes. Its framing takes no memory, and time
+    /// limits it: chunks of any size are legal.
+    pub(super) fn of_request(size: usize) -> Self {
+        Self {
+            length: size,
+            chunks: size,
+            received: usize::MAX,
+        }
+    }
+
+    /// Limits the body of a response to `size` bytes, or to twice as many with the framing
+    /// of chunks: a server in trouble may send chunks without end.
+    pub(super) fn of_response(size: usize) -> Self {
+        let received = size.saturating_mul(2);
+        Self {
+            length: size,
+            chunks: received,
+            received,
+        }
+    }
+}
+
+/// Accounts for the memory and the progress of the message that is being read.
 pub(super) trait Meter {
-    /// Records that `moved` bytes have arrived, and that the buffer takes `held` bytes.
+    /// Records that `size` bytes of the message have arrived. The framing of chunks is not
+    /// part of the message.
+    fn moved(&mut self, _size: usize) {}
+
+    /// Records that the buffer takes `size` bytes.
     ///
     /// # Errors
     ///
     /// Returns an error that rejects the message.
-    fn record(&mut self, moved: usize, held: usize) -> Result<(), MessageError>;
+    fn hold(&mut self, size: usize) -> Result<(), MessageError>;
 
     /// Returns once more bytes may be read.
     async fn wait_room(&self) {}
@@ -132,53 +170,62 @@
         }
         seen = buf.len();
         let empty = buf.is_empty();
-        if read_metered(stream, buf, meter).await? == 0 {
-            return Err(if empty {
-                MessageError::ClosedIdle
-            } else {
-                MessageError::Truncated
-            });
+        match read_metered(stream, buf, meter).await? {
+            0 if empty => return Err(MessageError::ClosedIdle),
+            0 => return Err(MessageError::Truncated),
+            size => meter.moved(size),
         }
     }
 }
 
 /// Reads from `stream` until `buf` holds the whole message of `head`, and returns where
 /// in `buf` it ends. Chunks are decoded as they arrive: their framing is not kept. A body
-/// that announces over `limit` bytes, or has not ended after twice as many, is rejected,
-/// and one for which `meter` finds no room.
+/// over `limit` is rejected as soon as its length, or the size of a chunk, shows it, and
+/// one for which `meter` finds no room.
 pub(super) async fn read_body(
     stream: &mut (impl AsyncRead + Unpin),
     buf: &mut Vec<u8>,
     head: Head,
-    limit: usize,
+    limit: BodyLimit,
     meter: &mut impl Meter,
 ) -> Result<usize, MessageError> {
-    let mut chunks = Chunks::new(head.size);
+    let mut chunks = Chunks::new(head.size, limit.chunks);
     let mut received = buf.len().saturating_sub(head.size);
     loop {
         let end = match head.framing {
-            Framing::Length(length) if length > limit => {
-                return Err(MessageError::BodyTooLong(length, limit));
+            Framing::Length(length) if length > limit.length => {
+                return Err(MessageError::BodyTooLong(length, limit.length));
             }
             Framing::Length(length) => (received >= length).then_some(head.size + length),
-            Framing::Chunked => chunks.decode(buf)?,
+            Framing::Chunked => {
+                let decoded = chunks.end;
+                let end = chunks.decode(buf)?;
+                meter.moved(chunks.end - decoded);
+                end
+            }
             Framing::CloseDelimited => None,
         };
         if let Some(end) = end {
             return Ok(end);
         }
-        if received > limit.saturating_mul(2) {
-            return Err(MessageError::BodyTooLong(received, limit));
+        if received > limit.received {
+            return Err(MessageError::BodyTooLong(received, limit.length));
         }
         match read_metered(stream, buf, meter).await? {
             0 if head.framing == Framing::CloseDelimited => return Ok(buf.len()),
             0 => return Err(MessageError::Truncated),
-            size => received += size,
+            size => {
+                received = received.saturating_add(size);
+                if head.framing != Framing::Chunked {
+                    meter.moved(size);
+                }
+            }
         }
     }
 }
 
-/// Reads once from the socket, as [`read_some`] does, and tells `meter`.
+/// Reads once from the socket, as [`read_some`] does, and tells `meter` what the buffer
+/// takes.
 async fn read_metered(
     stream: &mut (impl AsyncRead + Unpin),
     buf: &mut Vec<u8>,
@@ -186,7 +233,7 @@
 ) -> Result<usize, MessageError> {
     meter.wait_room().await;
     let size = read_some(stream, buf).await?;
-    meter.record(size, buf.capacity())?;
+    meter.hold(buf.capacity())?;
     Ok(size)
 }
 
@@ -195,6 +242,9 @@
 struct Chunks {
     /// Where the decoded bytes end and those not decoded yet begin.
     end: usize,
+    /// Bytes that the chunks so far have announced, and may announce.
+    announced: usize,
+    limit: usize,
     /// What comes next.
     next: Next,
 }
@@ -214,10 +264,12 @@
 }
 
 impl Chunks {
-    /// Starts a body at this position of the buffer.
-    fn new(start: usize) -> Self {
+    /// Starts a body of up to `limit` bytes at this position of the buffer.
+    fn new(start: usize, limit: usize) -> Self {
         Self {
             end: start,
+            announced: 0,
+            limit,
             next: Next::Size,
         }
     }
@@ -241,7 +293,12 @@
                         httparse::Status::Partial => break,
                     };
                     position += line;
-                    self.next = match usize::try_from(size).map_err(|_| MessageError::Chunk)? {
+                    let size = usize::try_from(size).map_err(|_| MessageError::Chunk)?;
+                    self.announced = self.announced.saturating_add(size);
+                    if self.announced > self.limit {
+                        return Err(MessageError::BodyTooLong(self.announced, self.limit));
+                    }
+                    self.next = match size {
                         0 => Next::LineEnd { last: true },
                         size => Next::Data(size),
                     };
--- a/crates/guavacourse/src/edge/http/receive_memory.rs
+++ b/crates/guavacourse/src/edge/http/receive_memory.rs
@@ -68,8 +68,8 @@
 }
 
 impl Meter for Option<Share> {
-    fn record(&mut self, _: usize, held: usize) -> Result<(), MessageError> {
-        self.as_mut().map_or(Ok(()), |share| share.grow(held))
+    fn hold(&mut self, size: usize) -> Result<(), MessageError> {
+        self.as_mut().map_or(Ok(()), |share| share.grow(size))
     }
 }
 
--- a/crates/guavacourse/src/edge/http/server.rs
+++ b/crates/guavacourse/src/edge/http/server.rs
@@ -18,7 +18,8 @@
 use super::{
     account::{CallerAccount, Cause, Seat},
     head::{
-        Framing, MAX_HEAD_BYTES, MessageError, MessageKind, Meter, read_body, read_head, read_some,
+        BodyLimit, Framing, MAX_HEAD_BYTES, MessageError, MessageKind, Meter, read_body, read_head,
+        read_some,
     },
     message,
 };
@@ -212,20 +213,19 @@
     seat.begin();
     let mut meter = SeatMeter(seat);
     let request = async {
-        meter.record(buf.len(), buf.capacity())?;
+        meter.moved(buf.len());
+        meter.hold(buf.capacity())?;
         let kind = MessageKind::Request;
         let head = read_head(stream, buf, kind, limits.max_head, &mut meter).await?;
         let fits = !matches!(head.framing, Framing::Length(length) if length > limits.max_body);
         if head.expect && fits {
             stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
         }
-        let end = read_body(stream, buf, head, limits.max_body, &mut meter).await?;
+        let limit = BodyLimit::of_request(limits.max_body);
+        let end = read_body(stream, buf, head, limit, &mut meter).await?;
         let rest = buf.split_off(end);
         let message = std::mem::replace(buf, rest);
         let request = message::request(message, head)?;
-        if request.len().is_some_and(|length| length > limits.max_body) {
-            return Err(MessageError::BodyTooLong(end - head.size, limits.max_body));
-        }
         seat.run(end + buf.capacity())?;
         Ok(Some((request, head.close)))
     };
@@ -246,9 +246,12 @@
 struct SeatMeter<'a>(&'a Seat);
 
 impl Meter for SeatMeter<'_> {
-    fn record(&mut self, moved: usize, held: usize) -> Result<(), MessageError> {
-        self.0.moved(moved);
-        self.0.charge(held)
+    fn moved(&mut self, size: usize) {
+        self.0.moved(size);
+    }
+
+    fn hold(&mut self, size: usize) -> Result<(), MessageError> {
+        self.0.charge(size)
     }
 
     async fn wait_room(&self) {
--- a/crates/guavacourse/tests/caller_account.rs
+++ b/crates/guavacourse/tests/caller_account.rs
@@ -257,6 +257,40 @@
     assert!(server.account.held() <= 8 * KB);
 }
 
+/// Guards against a body over the limit being read to the end, and refused only then.
+#[test]
+fn chunks_that_announce_too_much_are_refused_before_their_bytes_arrive() {
+    let server = Server::start(CallerLimits::UNLIMITED);
+    let head = "POST /a HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n";
+    let bodies = [
+        "40001\r\nb".to_owned(),
+        format!("3ffff\r\n{}\r\n2\r\n", "b".repeat(256 * KB - 1)),
+        "1\r\nb\r\nffffffffffffffff\r\n".to_owned(),
+    ];
+    for body in bodies {
+        let mut stream = server.send(format!("{head}{body}"));
+        let refused = read_until(&mut stream, "smaller one");
+        assert!(refused.starts_with("HTTP/1.1 413"), "{refused}");
+    }
+    assert_eq!(server.runs.load(Ordering::SeqCst), 0);
+}
+
+/// Guards against a caller outranking others by framing: only its body is progress.
+#[test]
+fn framing_is_no_progress() {
+    let server = Server::start(NARROW);
+    let head = "POST /a HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n";
+    let mut body = server.send(short(80 * KB));
+    let mut framing = server.send(format!("{head}{}", "1;a=b\r\nb\r\n".repeat(44 * KB)));
+    server.wait("both", |account| account.held() >= 124 * KB);
+    thread::sleep(BEYOND_GRACE);
+    let mut next = server.send(request("/a", 36 * KB));
+    assert!(read_until(&mut next, "bytes").contains("36864 bytes"));
+    assert!(read_until(&mut framing, "later").starts_with("HTTP/1.1 503"));
+    body.write_all(b"b").expect("sent");
+    assert!(read_until(&mut body, "bytes").contains("81920 bytes"));
+}
+
 /// Guards against a chunked body that is cut at any byte being decoded differently.
 #[test]
 fn chunks_that_arrive_in_pieces_are_decoded_alike() {
