fix(gateway): bound what callers have sent and the process has not read

Callers saw a process end: the platform counts bytes that were received and not yet read as its memory, and nothing bounded them. Each connection could leave 128 KB in its receive buffer (Linux's default), before and after it was accepted, and 1,248 connections may be open on a machine of 160 MB.

The listeners for callers, readiness and metrics now ask for receive buffers of 16 KB, which connections inherit and which Linux does not let grow. The process asks what it got: if the buffers are larger, fewer connections may be open, so that their buffers and those of the 128 that wait to be accepted take at most 3/8 of the memory. With 16 KB the number of connections is what it was.

--- a/crates/guavacourse/src/edge/gateway/mod.rs
+++ b/crates/guavacourse/src/edge/gateway/mod.rs
@@ -154,9 +154,14 @@
         });
         let (findings, received) = follow::findings::channel();
         let freshness = freshness::Freshness::default();
+        let listeners = listen::Listeners::bind(&config)?;
+        let receive_buffer = listeners.receive_buffer()?;
+        let caller_limits = config.resources.callers(receive_buffer);
+        metrics.observe_gauge("caller_receive_buffer", move || receive_buffer as u64);
         let setup = serve::Setup {
-            listeners: listen::Listeners::bind(&config)?,
+            listeners,
             config: config.clone(),
+            caller_limits,
             clock,
             view: view.clone(),
             callers,
@@ -180,7 +185,13 @@
             follow::run(follower, registry, executor, stop)
         });
         let traffic = Worker::spawn("traffic", |executor, stop| setup.run(executor, stop));
-        tracing::info!(instance = %config.instance, callers = %config.callers, "the gateway has started");
+        tracing::info!(
+            instance = %config.instance,
+            callers = %config.callers,
+            receive_buffer,
+            connections = caller_limits.connections,
+            "the gateway has started"
+        );
         Ok(Self {
             config,
             stopping,
--- a/crates/guavacourse/src/edge/gateway/serve.rs
+++ b/crates/guavacourse/src/edge/gateway/serve.rs
@@ -82,6 +82,7 @@
 pub(super) struct Setup {
     pub(super) listeners: Listeners,
     pub(super) config: GatewayConfig,
+    pub(super) caller_limits: CallerLimits,
     pub(super) clock: Clock,
     pub(super) view: Published<View>,
     pub(super) callers: Arc<dyn CallerProtocol>,
@@ -147,7 +148,7 @@
             self.entry_metrics.quota_requests.clone(),
         );
         let exchange = Rc::new(exchange);
-        let account = CallerAccount::new(self.config.resources.callers());
+        let account = CallerAccount::new(self.caller_limits);
         observe(&self.metrics, &account);
         let traffic = Rc::new(Traffic {
             clock: self.clock,
--- a/crates/guavacourse/src/modules/caller_memory.rs
+++ b/crates/guavacourse/src/modules/caller_memory.rs
@@ -10,7 +10,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 use self::caller::{Caller, Phase, Rank};
-pub use self::limits::{CallerLimits, InstanceLimits};
+pub use self::limits::{CallerLimits, InstanceLimits, RECEIVE_BUFFER, WAITING_CONNECTIONS};
 use super::time::Time;
 
 /// Bytes up to which a connection may use the reserve: an ordinary request fits.
--- a/crates/guavacourse/src/modules/caller_memory/limits.rs
+++ b/crates/guavacourse/src/modules/caller_memory/limits.rs
@@ -19,6 +19,16 @@
 /// buffer.
 const CONNECTION_BYTES: usize = 16 * 1_024;
 
+/// Share of the memory for what the system has received and the process has not read:
+/// three in eight.
+const UNREAD_SHARE: (usize, usize) = (3, 8);
+
+/// Wanted size of the receive buffer of a connection, in bytes.
+pub const RECEIVE_BUFFER: usize = 16 * 1_024;
+
+/// Connections that may wait to be accepted. Their receive buffers fill all the same.
+pub const WAITING_CONNECTIONS: usize = 128;
+
 /// Share of the memory for responses of leaves that are being read: one in ten.
 const RESPONSE_DIVISOR: usize = 10;
 
@@ -57,14 +67,18 @@
 }
 
 impl InstanceLimits {
-    /// Returns the limits of all callers together.
+    /// Returns the limits of all callers together, if the system holds up to
+    /// `receive_buffer` bytes of each connection that the process has not read.
     #[must_use]
-    pub fn callers(&self) -> CallerLimits {
+    pub fn callers(&self, receive_buffer: usize) -> CallerLimits {
         let bytes = self.memory / CALLER_DIVISOR;
         let sockets = self.descriptors.saturating_sub(FILE_DESCRIPTORS);
         let by_descriptors = sockets - sockets / INTERNAL_DIVISOR;
         let by_memory = self.memory / CONNECTION_DIVISOR / CONNECTION_BYTES;
-        let connections = by_descriptors.min(by_memory);
+        let (part, whole) = UNREAD_SHARE;
+        let buffers = self.memory / whole * part / receive_buffer.max(1);
+        let by_unread = buffers.saturating_sub(WAITING_CONNECTIONS);
+        let connections = by_descriptors.min(by_memory).min(by_unread);
         CallerLimits {
             bytes,
             reserve: bytes / RESERVE_DIVISOR,
--- a/crates/guavacourse/tests/caller_memory.rs
+++ b/crates/guavacourse/tests/caller_memory.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use guavacourse::modules::{
-    caller_memory::{CallerKey, CallerLimits, CallerMemory, InstanceLimits, NoRoom},
+    caller_memory::{
+        CallerKey, CallerLimits, CallerMemory, InstanceLimits, NoRoom, RECEIVE_BUFFER,
+        WAITING_CONNECTIONS,
+    },
     time::Time,
 };
 
@@ -240,7 +243,7 @@
         memory: 160 * KB * KB,
         descriptors: 4_100,
     };
-    let limits = smallest.callers();
+    let limits = smallest.callers(RECEIVE_BUFFER);
     let mut memory = CallerMemory::new(limits);
     for _ in 0..40 {
         let (key, room) = receive(&mut memory, BODY + 16 * KB, at(0));
@@ -251,3 +254,39 @@
     assert!(limits.connections >= 1_000, "{}", limits.connections);
     assert!(limits.connections + limits.closing + 200 < 4_100);
 }
+
+/// Guards against receive buffers that together hold more than their share of the memory,
+/// where the system does not make them smaller.
+#[test]
+fn large_receive_buffers_leave_fewer_connections() {
+    let mut rows = Vec::new();
+    for (megabytes, descriptors) in [(64, 4_100), (160, 4_100), (512, 8_192)] {
+        let instance = InstanceLimits {
+            memory: megabytes * KB * KB,
+            descriptors,
+        };
+        for buffer in [4, 16, 64, 256] {
+            let limits = instance.callers(buffer * KB);
+            let open = limits.connections + limits.closing + WAITING_CONNECTIONS;
+            let unread = open * buffer / KB;
+            let open = limits.connections;
+            rows.push(format!(
+                "{megabytes} MB, buffers of {buffer} KB: {open} open, {unread} MB unread"
+            ));
+        }
+    }
+    insta::assert_snapshot!(rows.join("\n"), @r"
+    64 MB, buffers of 4 KB: 480 open, 2 MB unread
+    64 MB, buffers of 16 KB: 480 open, 10 MB unread
+    64 MB, buffers of 64 KB: 224 open, 24 MB unread
+    64 MB, buffers of 256 KB: 16 open, 44 MB unread
+    160 MB, buffers of 4 KB: 1248 open, 5 MB unread
+    160 MB, buffers of 16 KB: 1248 open, 22 MB unread
+    160 MB, buffers of 64 KB: 800 open, 60 MB unread
+    160 MB, buffers of 256 KB: 80 open, 60 MB unread
+    512 MB, buffers of 4 KB: 4064 open, 16 MB unread
+    512 MB, buffers of 16 KB: 4064 open, 66 MB unread
+    512 MB, buffers of 64 KB: 2912 open, 192 MB unread
+    512 MB, buffers of 256 KB: 608 open, 192 MB unread
+    ");
+}
