fix(fleet): limit what peers make a process hold

A crowd at the ports for peers ended a process: each message could reserve 9 MB, each port took 1,024 connections whatever the descriptors of the instance, and receive buffers kept the system's size. The ports had no account; the connection that came last was refused, so that a crowd that came first kept all places.

Both ports now share an account of the kind that callers have. Places follow from the descriptors and the receive buffers, at most 1,024 as before; messages may take a tenth of the memory. The connection with the least progress gives way. `MessageFrames` follows the tables of the messages, so that a message is charged when the decoder reserves its memory. The account moves from `edge/http` to `edge`, and its errors no longer are those of HTTP. Five new metrics and three log lines tell of peers what those of callers tell.

--- a/crates/guavacourse/src/edge/http/account.rs
+++ b/crates/guavacourse/src/edge/account.rs
@@ -1,4 +1,4 @@
-//! The account of the connections of callers, and the place of each in it.
+//! The account of the connections of clients, and the place of each in it.
 
 use std::{
     fmt,
@@ -8,7 +8,6 @@
 use futures_lite::future;
 use slotmap::SecondaryMap;
 
-use super::head::MessageError;
 use crate::{
     edge::{clock::Clock, latch::Latch},
     modules::{
@@ -18,7 +17,16 @@
     },
 };
 
-/// Why a connection of a caller was closed or refused.
+/// Whose connections an account holds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Clients {
+    /// Callers, and clients of the readiness check and the metrics.
+    Callers,
+    /// Other processes of the fleet.
+    Peers,
+}
+
+/// Why a connection was closed or refused.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Cause {
     /// Closed: others needed its memory, and it made the least progress.
@@ -39,6 +47,7 @@
 }
 
 struct State {
+    clients: Clients,
     memory: CallerMemory,
     /// Tells a connection to close, and why.
     signals: SecondaryMap<CallerKey, (Latch, Cause)>,
@@ -62,12 +71,18 @@
 }
 
 impl CallerAccount {
-    /// Creates an empty account.
+    /// Creates an empty account of callers.
     #[must_use]
     pub fn new(limits: CallerLimits) -> Self {
+        Self::of(Clients::Callers, limits)
+    }
+
+    /// Creates an empty account of these clients.
+    pub(crate) fn of(clients: Clients, limits: CallerLimits) -> Self {
         Self(Arc::new(Shared {
             clock: Clock::start(),
             state: Mutex::new(State {
+                clients,
                 memory: CallerMemory::new(limits),
                 signals: SecondaryMap::new(),
                 counts: [0; 3],
@@ -157,24 +172,28 @@
             return;
         };
         let (held, connections) = (self.memory.held(), self.memory.connections());
+        let whose = match self.clients {
+            Clients::Callers => "a caller's",
+            Clients::Peers => "a peer's",
+        };
         match cause {
             Cause::Memory => tracing::warn!(
                 held,
                 connections,
                 left_out,
-                "a caller's connection is closed: others need its memory"
+                "{whose} connection is closed: others need its memory"
             ),
             Cause::Connections => tracing::warn!(
                 held,
                 connections,
                 left_out,
-                "a caller's connection is closed: others need its place"
+                "{whose} connection is closed: others need its place"
             ),
             Cause::Refused => tracing::warn!(
                 held,
                 connections,
                 left_out,
-                "a caller's request is refused: there is no memory for it"
+                "{whose} request is refused: there is no memory for it"
             ),
         }
     }
@@ -190,7 +209,7 @@
 
 impl Seat {
     /// Records that the connection waits for a request and holds nothing.
-    pub(super) fn wait(&self) {
+    pub(crate) fn wait(&self) {
         let now = self.account.now();
         let mut state = self.account.state();
         state.memory.wait(self.key, now);
@@ -200,7 +219,7 @@
     }
 
     /// Records that a request begins.
-    pub(super) fn begin(&self) {
+    pub(crate) fn begin(&self) {
         self.account
             .state()
             .memory
@@ -209,7 +228,7 @@
 
     /// Charges a connection whose request runs for `bytes` more that were read ahead.
     /// Returns whether more may be read.
-    pub(super) fn read_ahead(&self, bytes: usize) -> bool {
+    pub(crate) fn read_ahead(&self, bytes: usize) -> bool {
         let now = self.account.now();
         let mut state = self.account.state();
         let room = state.memory.extend(self.key, bytes, now).is_ok();
@@ -219,7 +238,7 @@
 
     /// Records that the request has run and a response of `size` bytes is written. It is
     /// never refused.
-    pub(super) fn answer(&self, size: usize) {
+    pub(crate) fn answer(&self, size: usize) {
         let now = self.account.now();
         let mut state = self.account.state();
         state.memory.answer(self.key, now);
@@ -230,17 +249,25 @@
     }
 
     /// Records that bytes have passed.
-    pub(super) fn moved(&self, bytes: usize) {
+    pub(crate) fn moved(&self, bytes: usize) {
         let now = self.account.now();
         self.account.state().memory.moved(self.key, bytes, now);
     }
 
+    /// Records that bytes of a request have passed, which begins with them if the
+    /// connection has waited for one.
+    pub(crate) fn receive(&self, bytes: usize) {
+        let now = self.account.now();
+        let mut state = self.account.state();
+        state.memory.receive(self.key, bytes, now);
+    }
+
     /// Charges the connection for the bytes that it holds.
     ///
     /// # Errors
     ///
     /// Returns an error if there is no room for them.
-    pub(super) fn charge(&self, held: usize) -> Result<(), MessageError> {
+    pub(crate) fn charge(&self, held: usize) -> Result<(), NoRoom> {
         self.change(|memory, now| memory.charge(self.key, held, now))
     }
 
@@ -249,33 +276,39 @@
     /// # Errors
     ///
     /// Returns an error if there is no room for it: it must not run.
-    pub(super) fn run(&self, held: usize) -> Result<(), MessageError> {
+    pub(crate) fn run(&self, held: usize) -> Result<(), NoRoom> {
         self.change(|memory, now| memory.run(self.key, held, now))
     }
 
     fn change(
         &self,
         change: impl FnOnce(&mut CallerMemory, Time) -> Result<(), NoRoom>,
-    ) -> Result<(), MessageError> {
+    ) -> Result<(), NoRoom> {
         let now = self.account.now();
         let mut state = self.account.state();
         let changed = change(&mut state.memory, now);
         state.evict(Cause::Memory, now);
-        changed.map_err(|NoRoom| {
+        if changed.is_err() {
             state.count(Cause::Refused, now);
-            MessageError::Crowded
-        })
+        }
+        changed
     }
 
     /// Returns once the connections that were told to close have freed their memory.
-    pub(super) async fn wait_room(&self) {
-        while self.account.state().memory.must_wait() && !self.latch.is_set() {
+    pub(crate) async fn wait_room(&self) {
+        while self.must_wait() {
             future::yield_now().await;
         }
     }
 
+    /// Returns whether nothing may be read until connections that were told to close have
+    /// freed their memory.
+    pub(crate) fn must_wait(&self) -> bool {
+        self.account.state().memory.must_wait() && !self.latch.is_set()
+    }
+
     /// Returns once the connection must close, and why.
-    pub(super) async fn evicted(&self) -> Cause {
+    pub(crate) async fn evicted(&self) -> Cause {
         self.latch.wait().await;
         let state = self.account.state();
         let signal = state.signals.get(self.key);
--- a/crates/guavacourse/src/edge/entry/server.rs
+++ b/crates/guavacourse/src/edge/entry/server.rs
@@ -35,7 +35,7 @@
         control::Control,
         http::{self, Limits},
         metrics::{EntryMetrics, Metrics},
-        node::{NodeServer, serve_fleet},
+        node::{NodeServer, serve_fleet, unlimited_peers},
         platform::EraStore,
         pool::Pool,
         tasks::Tasks,
@@ -230,7 +230,12 @@
             handover: Some(HandoverServer::client(&state)),
             ..NodeServer::default()
         });
-        executor.spawn(serve_fleet(listener, node, Rc::clone(&executor)))
+        executor.spawn(serve_fleet(
+            listener,
+            node,
+            Rc::clone(&executor),
+            unlimited_peers(),
+        ))
     });
     let connections = accept_callers(
         params.callers,
--- a/crates/guavacourse/src/edge/fleet.rs
+++ b/crates/guavacourse/src/edge/fleet.rs
@@ -19,7 +19,8 @@
 };
 use smol::{LocalExecutor, Task, Timer, net::TcpStream};
 
-use crate::generated::wire_capnp::node;
+use super::account::Seat;
+use crate::{generated::wire_capnp::node, modules::message_frames::MessageFrames};
 
 /// Maximum time to open a connection to another process.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -56,7 +57,7 @@
     };
     let stream = TcpStream::connect(addr).or(timeout).await?;
     stream.set_nodelay(true)?;
-    let (network, received_bytes) = network(stream, Side::Client);
+    let (network, received_bytes) = network(stream, Side::Client, None);
     let mut system = RpcSystem::new(Box::new(network), None);
     let node = system.bootstrap(Side::Server);
     let driver = executor.spawn(system);
@@ -67,30 +68,45 @@
     })
 }
 
-/// Serves one connection until it breaks.
+/// Serves one connection until it breaks, or must close for others.
 ///
 /// # Errors
 ///
 /// Returns the error that broke the connection.
-pub(crate) async fn serve<S>(stream: TcpStream, node: Rc<S>) -> capnp::Result<()>
+pub(crate) async fn serve<S>(stream: TcpStream, node: Rc<S>, seat: Seat) -> capnp::Result<()>
 where
     node::Client: FromServer<S>,
 {
     stream.set_nodelay(true)?;
     let client: node::Client = capnp_rpc::new_client_from_rc(node);
-    let (network, _) = network(stream, Side::Server);
-    RpcSystem::new(Box::new(network), Some(client.client)).await
+    let seat = Rc::new(seat);
+    let inbox = Inbox {
+        seat: Rc::clone(&seat),
+        frames: MessageFrames::default(),
+    };
+    let (network, _) = network(stream, Side::Server, Some(inbox));
+    let evicted = async {
+        seat.evicted().await;
+        Ok(())
+    };
+    let served = RpcSystem::new(Box::new(network), Some(client.client));
+    evicted.or(served).await
 }
 
 type Reader = BufReader<CountingReader>;
 
 /// Returns a network over a stream, and the number of bytes received on it.
-fn network(stream: TcpStream, side: Side) -> (VatNetwork<Reader>, Rc<Cell<u64>>) {
+fn network(
+    stream: TcpStream,
+    side: Side,
+    inbox: Option<Inbox>,
+) -> (VatNetwork<Reader>, Rc<Cell<u64>>) {
     let (reader, writer) = AsyncReadExt::split(stream);
     let bytes = Rc::<Cell<u64>>::default();
     let reader = CountingReader {
         reader,
         bytes: Rc::clone(&bytes),
+        inbox,
     };
     let network = VatNetwork::new(
         BufReader::new(reader),
@@ -101,10 +117,39 @@
     (network, bytes)
 }
 
+/// Charges a connection for the message that it receives. The memory of a message is
+/// reserved once its table has arrived.
+struct Inbox {
+    seat: Rc<Seat>,
+    frames: MessageFrames,
+}
+
+impl Inbox {
+    /// Accounts for the next bytes of the connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if they cannot be followed, or if there is no room for the message.
+    fn receive(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let progress = self.frames.follow(bytes).map_err(io::Error::other)?;
+        if progress.ended > 0 {
+            self.seat.wait();
+        }
+        if progress.pending > 0 {
+            self.seat.receive(bytes.len());
+            let charged = self.seat.charge(progress.pending);
+            return charged.map_err(|_| io::ErrorKind::OutOfMemory.into());
+        }
+        Ok(())
+    }
+}
+
 /// A reader that counts the bytes that it reads.
 struct CountingReader {
     reader: ReadHalf<TcpStream>,
     bytes: Rc<Cell<u64>>,
+    /// Set on connections that others have opened.
+    inbox: Option<Inbox>,
 }
 
 impl AsyncRead for CountingReader {
@@ -113,8 +158,17 @@
         context: &mut Context<'_>,
         buffer: &mut [u8],
     ) -> Poll<io::Result<usize>> {
+        if let Some(inbox) = &self.inbox
+            && inbox.seat.must_wait()
+        {
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         let read = ready!(Pin::new(&mut self.reader).poll_read(context, buffer))?;
         self.bytes.set(self.bytes.get() + read as u64);
+        if let Some(inbox) = &mut self.inbox {
+            inbox.receive(&buffer[..read])?;
+        }
         Poll::Ready(Ok(read))
     }
 }
--- a/crates/guavacourse/src/edge/gateway/follow.rs
+++ b/crates/guavacourse/src/edge/gateway/follow.rs
@@ -34,6 +34,7 @@
 use super::{GatewayConfig, Registry, RegistryError, freshness::Freshness};
 use crate::{
     edge::{
+        account::CallerAccount,
         clock::Clock,
         node::{NodeServer, serve_fleet},
         published::Published,
@@ -75,6 +76,8 @@
     pub(super) view: Published<View>,
     /// Socket to which peers that follow this process connect.
     pub(super) listener: TcpListener,
+    /// Account of all peers that connect to the process.
+    pub(super) peer_account: CallerAccount,
     /// What the traffic thread finds out about request content.
     pub(super) findings: Receiver<Finding>,
     /// To the traffic thread.
@@ -94,12 +97,18 @@
         tracing::error!("cannot serve peers; raise the open-file limit and restart");
         return;
     };
+    let account = setup.peer_account.clone();
     let follower = Rc::new(Follower::new(setup, registry, &executor));
     let node = NodeServer {
         feed: Some(capnp_rpc::new_client(FeedServer(Rc::clone(&follower)))),
         ..NodeServer::default()
     };
-    let peers = executor.spawn(serve_fleet(listener, Rc::new(node), Rc::clone(&executor)));
+    let peers = executor.spawn(serve_fleet(
+        listener,
+        Rc::new(node),
+        Rc::clone(&executor),
+        account,
+    ));
     let work = async {
         let following = follower.follow();
         let registering = follower.keep_registered();
--- a/crates/guavacourse/src/edge/gateway/mod.rs
+++ b/crates/guavacourse/src/edge/gateway/mod.rs
@@ -39,6 +39,7 @@
     registry::{Registry, RegistryError},
 };
 use super::{
+    account::{CallerAccount, Clients},
     clock::Clock,
     log::Log,
     metrics::{EntryMetrics, Metrics},
@@ -157,11 +158,14 @@
         let listeners = listen::Listeners::bind(&config)?;
         let receive_buffer = listeners.receive_buffer()?;
         let caller_limits = config.resources.callers(receive_buffer);
+        let peer_limits = config.resources.peers(receive_buffer);
+        let peers = CallerAccount::of(Clients::Peers, peer_limits);
         metrics.observe_gauge("caller_receive_buffer", move || receive_buffer as u64);
         let setup = serve::Setup {
             listeners,
             config: config.clone(),
             caller_limits,
+            peer_account: peers.clone(),
             clock,
             view: view.clone(),
             callers,
@@ -176,7 +180,8 @@
             config: config.clone(),
             clock,
             view,
-            listener: listen::bind(config.feed)?,
+            listener: listen::bind(config.feed, listen::PEER_BACKLOG)?,
+            peer_account: peers,
             findings: received,
             freshness,
             unreadable,
--- a/crates/guavacourse/src/edge/gateway/serve.rs
+++ b/crates/guavacourse/src/edge/gateway/serve.rs
@@ -83,6 +83,8 @@
     pub(super) listeners: Listeners,
     pub(super) config: GatewayConfig,
     pub(super) caller_limits: CallerLimits,
+    /// Account of all peers that connect to the process.
+    pub(super) peer_account: CallerAccount,
     pub(super) clock: Clock,
     pub(super) view: Published<View>,
     pub(super) callers: Arc<dyn CallerProtocol>,
@@ -149,7 +151,8 @@
         );
         let exchange = Rc::new(exchange);
         let account = CallerAccount::new(self.caller_limits);
-        observe(&self.metrics, &account);
+        observe_callers(&self.metrics, &account);
+        observe_peers(&self.metrics, &self.peer_account);
         let traffic = Rc::new(Traffic {
             clock: self.clock,
             view: self.view,
@@ -169,7 +172,13 @@
             metrics: self.metrics,
             tasks: Tasks::default(),
         });
-        let serving = spawn_servers(&traffic, &executor, self.listeners, account);
+        let serving = spawn_servers(
+            &traffic,
+            &executor,
+            self.listeners,
+            account,
+            self.peer_account,
+        );
         stop.wait().await;
         for task in serving {
             task.cancel().await;
@@ -209,6 +218,7 @@
     executor: &Rc<LocalExecutor<'static>>,
     listeners: Listeners,
     account: CallerAccount,
+    peers: CallerAccount,
 ) -> Vec<Task<()>> {
     let internal = || CallerAccount::new(INTERNAL_LIMITS);
     let callers = accept(traffic, executor, listeners.callers, account, serve_callers);
@@ -233,7 +243,7 @@
         })),
         ..NodeServer::default()
     };
-    let peers = serve_fleet(listeners.queries, Rc::new(node), Rc::clone(executor));
+    let peers = serve_fleet(listeners.queries, Rc::new(node), Rc::clone(executor), peers);
     serving.push(executor.spawn(peers));
     if let Some(listener) = listeners.metrics {
         serving.push(executor.spawn(accept(
@@ -249,20 +259,49 @@
 }
 
 /// Shows what callers hold, and what was closed or refused, in the metrics.
-fn observe(metrics: &Metrics, account: &CallerAccount) {
+fn observe_callers(metrics: &Metrics, account: &CallerAccount) {
     let counters = [
         ("callers_closed_memory", Cause::Memory),
         ("callers_closed_connections", Cause::Connections),
         ("callers_refused_memory", Cause::Refused),
     ];
+    observe(
+        metrics,
+        account,
+        counters,
+        ["caller_bytes", "caller_connections"],
+    );
+}
+
+/// Shows the same of peers that connect to the process.
+fn observe_peers(metrics: &Metrics, account: &CallerAccount) {
+    let counters = [
+        ("peers_closed_memory", Cause::Memory),
+        ("peers_closed_connections", Cause::Connections),
+        ("peers_refused_memory", Cause::Refused),
+    ];
+    observe(
+        metrics,
+        account,
+        counters,
+        ["peer_bytes", "peer_connections"],
+    );
+}
+
+fn observe(
+    metrics: &Metrics,
+    account: &CallerAccount,
+    counters: [(&'static str, Cause); 3],
+    [bytes, connections]: [&'static str; 2],
+) {
     for (name, cause) in counters {
         let account = account.clone();
         metrics.observe_counter(name, move || account.count(cause));
     }
     let held = account.clone();
-    metrics.observe_gauge("caller_bytes", move || held.held() as u64);
+    metrics.observe_gauge(bytes, move || held.held() as u64);
     let open = account.clone();
-    metrics.observe_gauge("caller_connections", move || open.connections() as u64);
+    metrics.observe_gauge(connections, move || open.connections() as u64);
 }
 
 /// Accepts connections until the future is dropped, and serves each with `serve`. Each
--- a/crates/guavacourse/src/edge/http/head.rs
+++ b/crates/guavacourse/src/edge/http/head.rs
@@ -6,6 +6,8 @@
 use futures_lite::AsyncRead;
 use thiserror::Error;
 
+use crate::modules::caller_memory::NoRoom;
+
 /// Default limit on the size of a message's head, in bytes.
 pub const MAX_HEAD_BYTES: usize = 8 * 1024;
 
@@ -68,6 +70,12 @@
     Io(#[from] io::Error),
 }
 
+impl From<NoRoom> for MessageError {
+    fn from(NoRoom: NoRoom) -> Self {
+        Self::Crowded
+    }
+}
+
 /// Whether a message is a request or a response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum MessageKind {
--- a/crates/guavacourse/src/edge/http/mod.rs
+++ b/crates/guavacourse/src/edge/http/mod.rs
@@ -6,7 +6,6 @@
 //! them with `httparse`, the parser that `async-h1` uses; `async-h1` only encodes
 //! responses, and requests passed as [`http_types::Request`].
 
-mod account;
 mod client;
 mod encoding;
 mod head;
@@ -14,7 +13,7 @@
 mod receive_memory;
 mod server;
 
-pub use account::{CallerAccount, Cause, Seat};
+pub use super::account::{CallerAccount, Cause, Seat};
 pub use client::{Connection, ExchangeError, call};
 pub use encoding::percent_encoded;
 pub use head::{MAX_HEAD_BYTES, MessageError};
--- a/crates/guavacourse/src/edge/http/server.rs
+++ b/crates/guavacourse/src/edge/http/server.rs
@@ -16,14 +16,16 @@
 use smol::{Timer, net::TcpStream};
 
 use super::{
-    account::{CallerAccount, Cause, Seat},
     head::{
         BodyLimit, Framing, MAX_HEAD_BYTES, MessageError, MessageKind, Meter, read_body, read_head,
         read_some,
     },
     message,
 };
-use crate::edge::latch::Latch;
+use crate::edge::{
+    account::{CallerAccount, Cause, Seat},
+    latch::Latch,
+};
 
 /// Bytes of the next requests that are read while a request runs. Reading shows whether
 /// the peer has closed the connection; what it sends beyond them waits in the socket.
@@ -251,7 +253,7 @@
     }
 
     fn hold(&mut self, size: usize) -> Result<(), MessageError> {
-        self.0.charge(size)
+        Ok(self.0.charge(size)?)
     }
 
     async fn wait_room(&self) {
--- a/crates/guavacourse/src/edge/mod.rs
+++ b/crates/guavacourse/src/edge/mod.rs
@@ -1,5 +1,6 @@
 //! I/O around the core: sockets, files and timers.
 
+pub(crate) mod account;
 pub mod claims;
 pub mod clock;
 pub mod control;
--- a/crates/guavacourse/src/edge/node.rs
+++ b/crates/guavacourse/src/edge/node.rs
@@ -2,16 +2,20 @@
 
 use std::{net::TcpListener as StdListener, rc::Rc, time::Duration};
 
+use futures_lite::future;
 use smol::{LocalExecutor, Task, Timer, net::TcpListener};
 
 use crate::{
-    edge::fleet,
+    edge::{
+        account::{CallerAccount, Clients},
+        fleet,
+    },
     generated::wire_capnp::{exchange, feed, handover, node, peer, queries, relay},
+    modules::caller_memory::{InstanceLimits, RECEIVE_BUFFER},
 };
 
-/// Connections from other processes that are open at the same time: three from each
-/// process of the largest fleet. Others are closed at once.
-const MAX_CONNECTIONS: usize = 1_024;
+/// Delay before the next connection is accepted while too many are still closing.
+const CROWDED_DELAY: Duration = Duration::from_millis(5);
 
 /// Delay after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(200);
@@ -95,12 +99,19 @@
     }
 }
 
+/// Returns the account of the peers of a process whose instance sets no limits.
+pub(crate) fn unlimited_peers() -> CallerAccount {
+    let limits = InstanceLimits::default().peers(RECEIVE_BUFFER);
+    CallerAccount::of(Clients::Peers, limits)
+}
+
 /// Serves other processes until the future is dropped, which closes all
-/// connections.
+/// connections. Each takes a place in `account`.
 pub(crate) async fn serve_fleet(
     listener: StdListener,
     node: Rc<NodeServer>,
     executor: Rc<LocalExecutor<'static>>,
+    account: CallerAccount,
 ) {
     let mut connections: Vec<Task<()>> = Vec::new();
     let listener = match smol::Async::new(listener) {
@@ -112,26 +123,30 @@
     };
     loop {
         connections.retain(|task| !task.is_finished());
+        while account.is_crowded() {
+            Timer::after(CROWDED_DELAY).await;
+        }
         match listener.accept().await {
-            Ok(_) if connections.len() >= MAX_CONNECTIONS => {
-                tracing::warn!("a peer is refused: too many connections are open");
-                // A crowd must not write lines, or be accepted, without pause.
-                Timer::after(ACCEPT_RETRY_DELAY).await;
-            }
             Ok((stream, _)) => {
+                let Some(seat) = account.open() else {
+                    continue;
+                };
                 let node = Rc::clone(&node);
                 connections.push(executor.spawn(async move {
-                    if let Err(error) = fleet::serve(stream, node).await {
+                    if let Err(error) = fleet::serve(stream, node, seat).await {
                         tracing::debug!(%error, "a connection from another process broke");
                     }
                 }));
             }
             Err(error) => {
                 tracing::warn!(%error, "cannot accept a peer; raise the open-file limit");
+                account.make_room();
                 // The error comes again at once while descriptors are used up.
                 Timer::after(ACCEPT_RETRY_DELAY).await;
             }
         }
+        // Connections that were told to close must run before others are accepted.
+        future::yield_now().await;
     }
 }
 
--- a/crates/guavacourse/src/edge/relay/mod.rs
+++ b/crates/guavacourse/src/edge/relay/mod.rs
@@ -38,7 +38,7 @@
     clock::Clock,
     control::{Control, PeerHandle},
     http::ReceiveMemory,
-    node::{NodeServer, serve_fleet},
+    node::{NodeServer, serve_fleet, unlimited_peers},
     published::Published,
     worker::{StopSignal, Worker},
 };
@@ -260,7 +260,12 @@
             let serving = runner.run(Rc::clone(&executor));
             executor.spawn(serving)
         });
-        let serving = serve_fleet(self.listener, Rc::new(node), Rc::clone(&executor));
+        let serving = serve_fleet(
+            self.listener,
+            Rc::new(node),
+            Rc::clone(&executor),
+            unlimited_peers(),
+        );
         let fleet = executor.spawn(serving);
         let timers = executor.spawn(Rc::clone(&dispatcher).run_timers());
         let reports = executor.spawn(Rc::clone(&dispatcher).handle_reports(channels.reports));
--- a/crates/guavacourse/src/modules/caller_memory.rs
+++ b/crates/guavacourse/src/modules/caller_memory.rs
@@ -1,4 +1,4 @@
-//! Limits what all callers together can make a process hold.
+//! Limits what all callers together, or all peers, can make a process hold.
 //!
 //! One account covers the bytes and the connections of all callers. When it is full, the
 //! callers with the least progress lose their connections: see
@@ -111,6 +111,17 @@
         self.set_phase(key, Phase::Receiving, now);
     }
 
+    /// Records that bytes of a request have passed, which begins with them if the
+    /// connection has waited for one.
+    pub fn receive(&mut self, key: CallerKey, bytes: usize, now: Time) {
+        if let Some(caller) = self.callers.get_mut(key) {
+            if caller.is_idle() {
+                caller.enter(Phase::Receiving, now);
+            }
+            caller.moved(bytes, now);
+        }
+    }
+
     /// Records that a response is being written.
     pub fn answer(&mut self, key: CallerKey, now: Time) {
         self.set_phase(key, Phase::Writing, now);
--- a/crates/guavacourse/src/modules/caller_memory/caller.rs
+++ b/crates/guavacourse/src/modules/caller_memory/caller.rs
@@ -47,7 +47,7 @@
     bytes: u64,
     /// When the last byte passed, or the phase began.
     last_byte: Time,
-    /// Whether a request of this connection has run.
+    /// Whether a request of this connection was received as a whole.
     served: bool,
 }
 
@@ -65,13 +65,18 @@
     }
 
     pub(super) fn enter(&mut self, phase: Phase, now: Time) {
-        self.served |= self.phase == Phase::Running;
+        // A connection waits again only once its request is whole.
+        self.served |= phase == Phase::Idle && !self.is_idle();
         self.phase = phase;
         self.since = now;
         self.last_byte = now;
         self.bytes = 0;
     }
 
+    pub(super) fn is_idle(&self) -> bool {
+        self.phase == Phase::Idle
+    }
+
     pub(super) fn moved(&mut self, bytes: usize, now: Time) {
         self.bytes = self.bytes.saturating_add(bytes as u64);
         self.last_byte = now;
--- a/crates/guavacourse/src/modules/caller_memory/limits.rs
+++ b/crates/guavacourse/src/modules/caller_memory/limits.rs
@@ -41,6 +41,23 @@
 /// Connections that may still be closing while others take their places.
 const CLOSING_CONNECTIONS: usize = 32;
 
+/// Share of the descriptors for leaves, peers, the store and the readiness check that peers
+/// may use: one in two.
+const PEER_SOCKET_DIVISOR: usize = 2;
+
+/// Share of the memory for messages that peers send: one in ten.
+const PEER_DIVISOR: usize = 10;
+
+/// Share of the memory for what the system has received from peers and the process has not
+/// read: one in eight.
+const PEER_UNREAD_DIVISOR: usize = 8;
+
+/// Most connections of peers: three from each process of the largest fleet.
+const MAX_PEER_CONNECTIONS: usize = 1_024;
+
+/// Connections of peers that may still be closing while others take their places.
+const CLOSING_PEERS: usize = 8;
+
 /// Fewest connections: an instance with fewer could not be used.
 const MIN_CONNECTIONS: usize = 16;
 
@@ -89,6 +106,26 @@
         }
     }
 
+    /// Returns the limits of all peers that connect to the process, if the system holds up
+    /// to `receive_buffer` bytes of each connection that the process has not read.
+    #[must_use]
+    pub fn peers(&self, receive_buffer: usize) -> CallerLimits {
+        let bytes = self.memory / PEER_DIVISOR;
+        let sockets = self.descriptors.saturating_sub(FILE_DESCRIPTORS);
+        let by_descriptors = sockets / INTERNAL_DIVISOR / PEER_SOCKET_DIVISOR;
+        let buffers = self.memory / PEER_UNREAD_DIVISOR / receive_buffer.max(1);
+        let by_unread = buffers.saturating_sub(WAITING_CONNECTIONS);
+        let connections = by_descriptors.min(by_unread).min(MAX_PEER_CONNECTIONS);
+        CallerLimits {
+            bytes,
+            reserve: bytes / RESERVE_DIVISOR,
+            connections: connections
+                .saturating_sub(CLOSING_PEERS)
+                .max(MIN_CONNECTIONS),
+            closing: CLOSING_PEERS,
+        }
+    }
+
     /// Returns the memory for responses of leaves that are being read, in bytes.
     #[must_use]
     pub fn response_bytes(&self) -> usize {
--- a/crates/guavacourse/src/modules/mod.rs
+++ b/crates/guavacourse/src/modules/mod.rs
@@ -46,6 +46,7 @@
 pub mod load_balancer;
 pub mod members;
 pub mod merged_list;
+pub mod message_frames;
 pub mod outcome;
 pub mod ownership;
 pub mod partial_list;
