--- a/crates/guavacourse/src/edge/control/listener.rs
+++ b/crates/guavacourse/src/edge/control/listener.rs
@@ -6,7 +6,7 @@
 
 use super::PeerHandle;
 use crate::edge::{
-    node::{NodeServer, serve_fleet, unlimited_peers},
+    node::{NodeServer, default_peers, serve_fleet},
     worker::Worker,
 };
 
@@ -26,7 +26,7 @@
                 peer: Some(peer.client()),
                 ..NodeServer::default()
             };
-            let served = serve_fleet(listener, Rc::new(node), executor, unlimited_peers());
+            let served = serve_fleet(listener, Rc::new(node), executor, default_peers());
             served.or(stop.wait()).await;
         })?;
         Ok(Self(worker))
--- a/crates/guavacourse/src/edge/entry/server.rs
+++ b/crates/guavacourse/src/edge/entry/server.rs
@@ -35,7 +35,7 @@
         control::Control,
         http::{self, Limits},
         metrics::{EntryMetrics, Metrics},
-        node::{NodeServer, serve_fleet, unlimited_peers},
+        node::{NodeServer, default_peers, serve_fleet},
         platform::EraStore,
         pool::Pool,
         tasks::Tasks,
@@ -234,7 +234,7 @@
             listener,
             node,
             Rc::clone(&executor),
-            unlimited_peers(),
+            default_peers(),
         ))
     });
     let connections = accept_callers(
--- a/crates/guavacourse/src/edge/node.rs
+++ b/crates/guavacourse/src/edge/node.rs
@@ -100,7 +100,7 @@
 }
 
 /// Returns the account of the peers of a process whose instance sets no limits.
-pub(crate) fn unlimited_peers() -> CallerAccount {
+pub(crate) fn default_peers() -> CallerAccount {
     let limits = InstanceLimits::default().peers(RECEIVE_BUFFER);
     CallerAccount::of(Clients::Peers, limits)
 }
--- a/crates/guavacourse/src/edge/relay/mod.rs
+++ b/crates/guavacourse/src/edge/relay/mod.rs
@@ -38,7 +38,7 @@
     clock::Clock,
     control::{Control, PeerHandle},
     http::ReceiveMemory,
-    node::{NodeServer, serve_fleet, unlimited_peers},
+    node::{NodeServer, default_peers, serve_fleet},
     published::Published,
     worker::{StopSignal, Worker},
 };
@@ -264,7 +264,7 @@
             self.listener,
             Rc::new(node),
             Rc::clone(&executor),
-            unlimited_peers(),
+            default_peers(),
         );
         let fleet = executor.spawn(serving);
         let timers = executor.spawn(Rc::clone(&dispatcher).run_timers());
--- a/crates/guavacourse/tests/caller_memory.rs
+++ b/crates/guavacourse/tests/caller_memory.rs
@@ -290,3 +290,25 @@
     512 MB, buffers of 256 KB: 608 open, 192 MB unread
     ");
 }
+
+/// Guards against places for peers that the largest fleet would use up: an instance is
+/// followed by those of its data centre, and a strong one runs queries for all.
+#[test]
+fn the_largest_fleet_finds_places_for_its_peers() {
+    const FLEET: usize = 540;
+    const DATA_CENTRES: usize = 5;
+    for buffer in [16 * KB, 64 * KB] {
+        let weak = InstanceLimits {
+            memory: 160 * KB * KB,
+            descriptors: 4_100,
+        };
+        let strong = InstanceLimits {
+            memory: 512 * KB * KB,
+            descriptors: 8_192,
+        };
+        let places = weak.peers(buffer).connections;
+        assert!(places >= FLEET / DATA_CENTRES, "{places} on a weak one");
+        let places = strong.peers(buffer).connections;
+        assert!(places >= FLEET, "{places} on a strong one");
+    }
+}
