--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -21,6 +21,9 @@
 NODE = os.path.join(ROOT, "target", "release", "guavacourse-node")
 HOST = "h.example"
 
+# Lines of a record; what `say` tells is always in it.
+MAX_LINES = 10_000
+
 STATUS_TEXT = {200: "OK", 400: "Bad Request", 403: "Forbidden", 404: "Not Found",
                410: "Gone", 412: "Precondition Failed", 421: "Misdirected Request",
                500: "Internal Server Error", 503: "Service Unavailable"}
@@ -273,6 +276,7 @@
         self.born = int(time.time() * 1000)
         self.state = "ready"
         self.runs = []  # (time, id)
+        self.writers = set()
         self.respond = None  # a coroutine that answers instead, once the request has run
         self.told = None  # its entry, without the sequence
         self.silent = False  # no more pings: its entry lapses
@@ -310,7 +314,27 @@
         self.silent = True
         self.world.store.delete("servers/" + self.name)
 
+    def crash(self):
+        """Ends at once: its connections are reset, others refused, and it pings no more."""
+        self.silent = True
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+        self.world.record("crashed", self.name)
+
+    async def restart(self):
+        """Starts again under its id and its address, and knows nothing of before."""
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port,
+                                                 limit=2 ** 20)
+        self.free = asyncio.Semaphore(self.slots)
+        self.running = self.waiting = self.sequence = 0
+        self.born = int(time.time() * 1000)
+        self.state, self.told, self.silent = "ready", None, False
+        self.ping()
+        self.world.record("back", self.name)
+
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 message = await read_message(reader)
@@ -323,6 +347,7 @@
         except (ConnectionError, asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     def load(self):
@@ -346,9 +371,12 @@
             return
         deadline = request.header("deadline-ms")
         left = int(deadline) / 1000 if deadline else 60.0
+        born, free = self.born, self.free
         self.waiting += 1
         waited = time.monotonic()
-        await self.free.acquire()
+        await free.acquire()
+        if self.born != born:
+            return  # it has crashed since
         self.waiting -= 1
         self.running += 1
         try:
@@ -366,8 +394,9 @@
             writer.write(encode(200, echo + [("Response-Signature", signature), self.load()],
                                 body))
         finally:
-            self.running -= 1
-            self.free.release()
+            if self.born == born:
+                self.running -= 1
+            free.release()
 
 
 class Node:
@@ -496,12 +525,16 @@
         self.counts = {}
 
     def record(self, *words):
-        if len(self.lines) < 20_000:
-            at = time.monotonic() - self.started
-            self.lines.append(f"{at:9.3f} " + " ".join(str(word) for word in words))
+        """Adds a line to the record; of very many, the first ones."""
+        if len(self.lines) < MAX_LINES:
+            self.add_line(words)
+
+    def add_line(self, words):
+        at = time.monotonic() - self.started
+        self.lines.append(f"{at:9.3f} " + " ".join(str(word) for word in words))
 
     def say(self, text):
-        self.record("#", text)
+        self.add_line(("#", text))
         print(text, flush=True)
 
     def sign(self, id):
