--- a/review/8/case_2.py
+++ b/review/8/case_2.py
@@ -1,59 +1,66 @@
-"""A leaf in trouble runs a booking and then fails it with 503, without `Not-Executed`."""
+"""Another writer leaves entries in the list of leafs; then all processes are killed."""
 
+import asyncio
 import os
-import random
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
-from standins_2 import config, encode, main, route
+from standins_2 import config, main, route
 
-LEAVES = 14  # two of them in trouble: a share of 0.143, at most 0.15
-FAILED_SHARE = 0.4
-BOOKINGS = 300
-NOT_RUN = (408, 421, 429, 503)
+# Eight entries of at most `valueBytes` (1,048,576) each, written once, under names of
+# their own.
+ENTRIES = 8
+ENTRY_BYTES = 1_000_000
+DOWN_S = 1.0
+RECOVERY_S = 12.0
+ASKED_S = 10.0
 
 
-async def fail_some(leaf, request, echo, writer):
-    """Fails some of the requests after it has run them, and answers the others."""
-    signature = ("Response-Signature", leaf.world.sign(request.header("request-id")))
-    if random.random() < FAILED_SHARE:
-        leaf.world.record("failed", request.header("request-id"), leaf.name)
-        writer.write(encode(503, echo + [signature, leaf.load()], b"the ledger is away"))
-    else:
-        writer.write(encode(200, echo + [signature, leaf.load()], b"booked"))
+async def serve(world, seconds):
+    """Sends requests to all machines for a while. Returns how many, and the share served."""
+    asked = served = 0
+    end = asyncio.get_running_loop().time() + seconds
+    while asyncio.get_running_loop().time() < end:
+        for node in world.nodes:
+            id, answer = await world.ask(node, "/shift/q")
+            asked += 1
+            served += answer is not None and answer[0] == 200
+        await asyncio.sleep(0.2)
+    return asked, served / asked
 
 
 async def case(world):
-    await world.start_store()
     zones = list(world.zones)
-    for number in range(LEAVES):
-        await world.add_leaf("ledger", zones[number % 3])
-    if world.trouble:
-        for leaf in world.leaves[:2]:
-            leaf.respond = fail_some
-    routes = [route("book", "/book/", type="non_idempotent", service="ledger")]
-    world.store.put("op/config", config(1, routes))
+    await world.start_store()
+    for zone in zones:
+        for _ in range(2):
+            await world.add_leaf("phone", zone)
+    world.store.put("op/config", config(1, [route("shift", "/shift/", service="phone")]))
     for zone in zones:
         world.add_node(zone)
     await world.start_nodes()
+    if world.trouble:
+        for number in range(ENTRIES):
+            world.store.put(f"servers/billing & co #{number}", os.urandom(ENTRY_BYTES))
+        world.say(f"another writer has left {ENTRIES} entries of {ENTRY_BYTES} bytes")
+    asked, before = await serve(world, 5.0)
+    world.say(f"before the final fault {before:.2f} of {asked} requests are served")
 
-    broken = twice = failed = 0
-    for number in range(BOOKINGS):
-        node = world.nodes[number % 3]
-        body = b"booking %d" % number
-        id, answer = await world.ask(node, f"/book/{number}", method="POST", body=body)
-        if answer is None or answer[0] >= 300:
-            failed += 1
-        if answer is not None and answer[0] in NOT_RUN and world.ran(id):
-            broken += 1
-            world.record("broken", id, f"answered {answer[0]} and has run")
-            # The client takes the status for the promise that it is, and asks again.
-            id, answer = await world.ask(node, f"/book/{number}", method="POST", body=body)
-            twice += answer is not None and answer[0] == 200
-    world.say(f"{BOOKINGS} bookings, {failed} failed; {broken} were answered with a status that "
-              f"promises that they have not run, and had run; {twice} of these were done again")
-    # REFUSED: one is enough.
-    return broken == 0
+    for node in world.nodes:
+        node.kill()
+    for node in world.nodes:
+        await node.process.wait()
+    world.say("all processes are killed; the platform starts them again")
+    await asyncio.sleep(DOWN_S)
+    for node in world.nodes:
+        await node.start()
+    await asyncio.sleep(RECOVERY_S)
+    asked, after = await serve(world, ASKED_S)
+    ready = [await node.ready() for node in world.nodes]
+    world.say(f"later than {RECOVERY_S} s after the machines are back, {after:.2f} of {asked} "
+              f"requests are served; ready: {ready}")
+    # RECOVER: less than a quarter is served, though a quarter or more was before.
+    return before < 0.25 or after >= 0.25
 
 
 main(case, os.path.dirname(os.path.abspath(__file__)))
