--- a/review/7/case_2.py
+++ b/review/7/case_2.py
@@ -9,17 +9,17 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 from standins_2 import config, main, route
 
-# The sheet's figures for worker-phone: 10 leafs with 6 slots, 45 requests a second of
+# The sheet's figures: a service of 3 leafs with 3 slots each, and 45 requests a second of
 # 160 ms each.
-LEAVES = 10
-SLOTS = 6
+LEAVES = 3
+SLOTS = 3
 WORK_S = 0.16
 PER_S = 45
 # Leafs that run a request at the moment of the crash; 7 requests run on average.
-BUSY_LEAVES = 4
+BUSY_LEAVES = 3
 CONFIG_APPLY_S = 3.0
 STABLE_WINDOW_S = 4.0
-DOWN_S = 4.5
+DOWN_S = 3.6
 STEADY_S = 20.0
 
 
@@ -62,31 +62,31 @@
     zones = list(world.zones)
     await world.start_store()
     for number in range(LEAVES):
-        for service in ("wage-ledger", "worker-phone"):
+        for service in ("first", "desk"):
             await world.add_leaf(service, zones[number % 3], slots=SLOTS, work_s=WORK_S)
-    phones = [leaf for leaf in world.leaves if leaf.service == "worker-phone"]
-    first = route("first", "/first/", service="wage-ledger")
+    leafs = [leaf for leaf in world.leaves if leaf.service == "desk"]
+    first = route("first", "/first/", service="first")
     world.store.put("op/config", config(1, [first]))
     for zone in zones:
         world.add_node(zone)
     await world.start_nodes()
-    later = route("later", "/later/", service="worker-phone")
+    later = route("later", "/later/", service="desk")
     world.store.put("op/config", config(2, [first, later]))
     await asyncio.sleep(CONFIG_APPLY_S)
 
     before = {"first": Tally(), "later": Tally()}
     # The leafs crash under their usual load: some of them run a request at that moment.
     tasks = await send(world, before, 4.0,
-                       lambda: sum(leaf.running > 0 for leaf in phones) >= BUSY_LEAVES)
+                       lambda: sum(leaf.running > 0 for leaf in leafs) >= BUSY_LEAVES)
     if world.trouble:
-        busy = sum(leaf.running > 0 for leaf in phones)
+        busy = sum(leaf.running > 0 for leaf in leafs)
         world.say(f"all leafs of the later route crash; {busy} of them run a request")
-        for leaf in phones:
+        for leaf in leafs:
             leaf.crash()
     down = {"first": Tally(), "later": Tally()}
     tasks += await send(world, down, DOWN_S)
     if world.trouble:
-        for leaf in phones:
+        for leaf in leafs:
             await leaf.restart()
         world.say("they are back")
     tasks += await send(world, {"first": Tally(), "later": Tally()}, STABLE_WINDOW_S + 1.0)
