fix(quarantine): try quarantined content again, and lift the verdict once a leaf answers

Cause: three leaves that crash with a content in flight look the same whether the content crashes them or they fail together. The verdict on this evidence was final for 30 minutes, so no leaf could ever answer the content and clear it.

A quarantine is now a breaker that closes by itself: 2 s after the verdict one request of the content is sent to one leaf, as the only call of its request, and later ones ever more rarely (16 s, 128 s, ...). The registry grants the trial to one process at a time. If the leaf answers, be it with a failure, the reports are withdrawn in a way that processes can tell from the end of a lease, and all lift the verdict. If it does not, the failed trial is reported, also where the crash itself is not noticed. Refusals name the time to the next trial. A relay of a gateway keeps no verdict of its own on forwarded content any more: nothing lifted it.

--- a/crates/daemons/src/measure/core.rs
+++ b/crates/daemons/src/measure/core.rs
@@ -157,6 +157,7 @@
         age: Duration::ZERO,
         customer: None,
         only_services: Vec::new(),
+        trial: 0,
     };
     let (mut query, mut steps) = Query::start(Arc::clone(view), balancer, request, now)?;
     let later = now.after(Duration::from_micros(500));
--- a/crates/guavacourse/src/edge/entry/callers.rs
+++ b/crates/guavacourse/src/edge/entry/callers.rs
@@ -203,6 +203,7 @@
         age: Duration::ZERO,
         customer: None,
         only_services: Vec::new(),
+        trial: 0,
     };
     let answer = match state.run_query(request).await {
         Ok(answer) => answer,
--- a/crates/guavacourse/src/edge/gateway/call_router.rs
+++ b/crates/guavacourse/src/edge/gateway/call_router.rs
@@ -151,6 +151,7 @@
         age: part.age,
         customer: part.customer.clone(),
         only_services: positions.to_vec(),
+        trial: 0,
     }
 }
 
--- a/crates/guavacourse/src/edge/gateway/follow.rs
+++ b/crates/guavacourse/src/edge/gateway/follow.rs
@@ -8,6 +8,7 @@
 mod pause;
 mod restored;
 mod sources;
+mod trials;
 
 use std::{
     cell::{Cell, RefCell},
@@ -31,7 +32,7 @@
     restored::Restored,
     sources::Sources,
 };
-use super::{GatewayConfig, Registry, RegistryError, freshness::Freshness};
+use super::{GatewayConfig, Registry, RegistryError, freshness::Freshness, trials::TrialRequest};
 use crate::{
     edge::{
         account::CallerAccount,
@@ -80,6 +81,8 @@
     pub(super) peer_account: CallerAccount,
     /// What the traffic thread finds out about request content.
     pub(super) findings: Receiver<Finding>,
+    /// Trials of request content that the traffic thread asks for.
+    pub(super) trials: Receiver<TrialRequest>,
     /// To the traffic thread.
     pub(super) freshness: Freshness,
     /// Number of times that an entry of the registry could not be read, for the metrics.
@@ -115,7 +118,9 @@
         let expiring = follower.remove_expired();
         let reporting = follower.report_findings();
         let repeating = follower.repeat_reports();
-        futures::future::join5(following, registering, expiring, reporting, repeating).await;
+        let trying = follower.serve_trials();
+        let reporting = futures::future::join3(reporting, repeating, trying);
+        futures::future::join4(following, registering, expiring, reporting).await;
     };
     work.or(stop.wait()).await;
     peers.cancel().await;
@@ -512,6 +517,7 @@
             cold: directory.cold_leaves(),
             incarnations: directory.incarnations(),
             quarantined: directory.crashes().quarantined(),
+            trials: directory.crashes().trials(),
             suspected: directory.crashes().suspected(),
             shares: directory.shares(),
             ..View::default()
--- a/crates/guavacourse/src/edge/gateway/follow/events.rs
+++ b/crates/guavacourse/src/edge/gateway/follow/events.rs
@@ -26,6 +26,10 @@
             ?leaves,
             "request content crashes leaves and is quarantined"
         ),
+        DirectoryEvent::Released { content } => tracing::info!(
+            content,
+            "a leaf has answered quarantined request content; it is served again"
+        ),
         DirectoryEvent::Evacuated { data_centre } => tracing::info!(
             data_centre,
             "a data centre is evacuated; its leaves get no calls"
--- a/crates/guavacourse/src/edge/gateway/follow/findings.rs
+++ b/crates/guavacourse/src/edge/gateway/follow/findings.rs
@@ -62,16 +62,20 @@
     /// Removes the reports against content that proved harmless.
     async fn retract(&self, content: u64) {
         let leaves = self.directory.borrow().crashes().leaves(content);
+        let quarantined = self.directory.borrow().crashes().is_quarantined(content);
         tracing::info!(content, ?leaves, "suspected request content is harmless");
-        let gone = leaves.iter().map(|leaf| Change::CrashGone {
+        let withdrawn = leaves.iter().map(|leaf| Change::CrashWithdrawn {
             content,
             leaf: leaf.clone(),
         });
-        self.apply_changes(gone.collect());
-        if !leaves.is_empty() {
-            self.write(|| self.registry.retract_crashes(content, &leaves))
+        self.apply_changes(withdrawn.collect());
+        for leaves in leaves.chunks(MAX_BATCH) {
+            self.write(|| self.registry.withdraw_crashes(content, leaves))
                 .await;
         }
+        if quarantined {
+            self.release_trial(content).await;
+        }
     }
 
     /// Writes to the registry until that succeeds.
--- a/crates/guavacourse/src/edge/gateway/mod.rs
+++ b/crates/guavacourse/src/edge/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod requests;
 mod serve;
 mod stopping;
+mod trials;
 
 use std::{
     net::SocketAddr,
@@ -154,6 +155,7 @@
             unreadable_total.load(Ordering::Relaxed)
         });
         let (findings, received) = follow::findings::channel();
+        let (trials, trial_requests) = trials::channel();
         let freshness = freshness::Freshness::default();
         let listeners = listen::Listeners::bind(&config)?;
         let receive_buffer = listeners.receive_buffer()?;
@@ -174,6 +176,7 @@
             entry_metrics: EntryMetrics::new(&metrics.meter()),
             metrics,
             findings,
+            trials,
             freshness: freshness.clone(),
         };
         let follower = follow::Setup {
@@ -183,6 +186,7 @@
             listener: listen::bind(config.feed, listen::PEER_BACKLOG)?,
             peer_account: peers,
             findings: received,
+            trials: trial_requests,
             freshness,
             unreadable,
         };
--- a/crates/guavacourse/src/edge/gateway/query_wire.rs
+++ b/crates/guavacourse/src/edge/gateway/query_wire.rs
@@ -86,6 +86,7 @@
         age: Duration::from_micros(query.get_age_micros()),
         customer: None,
         only_services,
+        trial: 0,
     };
     Ok(PeerQuery {
         request,
--- a/crates/guavacourse/src/edge/gateway/registry.rs
+++ b/crates/guavacourse/src/edge/gateway/registry.rs
@@ -56,13 +56,21 @@
         reports: &[CrashReport],
     ) -> impl Future<Output = Result<(), RegistryError>>;
 
-    /// Removes the reports of crashes under a content.
-    fn retract_crashes(
+    /// Withdraws the reports of crashes under a content, in a way that processes can tell
+    /// from the end of a report's lease.
+    fn withdraw_crashes(
         &self,
         content: u64,
         leaves: &[CrashedLeaf],
     ) -> impl Future<Output = Result<(), RegistryError>>;
 
+    /// Claims the trial of a content for this process. Returns false if another process
+    /// holds it. A claim ends by itself after some seconds.
+    fn claim_trial(&self, content: u64) -> impl Future<Output = Result<bool, RegistryError>>;
+
+    /// Gives up the trial of a content, so that any process may claim it again.
+    fn release_trial(&self, content: u64) -> impl Future<Output = Result<(), RegistryError>>;
+
     /// Registers this process, or renews its registration. `removed` says that the
     /// registration was seen to be removed, so that it is created again.
     fn register(&self, removed: bool) -> impl Future<Output = Result<(), RegistryError>>;
--- a/crates/guavacourse/src/edge/gateway/requests.rs
+++ b/crates/guavacourse/src/edge/gateway/requests.rs
@@ -10,6 +10,7 @@
     peer_call::{self, PeerOutcome},
     protocol::{CallerAnswer, CallerRequest},
     serve::Traffic,
+    trials::{self, Admitted},
 };
 use crate::{
     edge::entry::QueryRunner,
@@ -17,7 +18,6 @@
         answer::{Answer, AnswerRows, Failure, Reason, Refusal},
         catalog::KindEntry,
         customers::{Credential, Customer},
-        quarantine::QUARANTINE_DURATION,
         query::{MIN_DEADLINE, QueryRequest, allowed_regions},
         view::View,
     },
@@ -87,6 +87,7 @@
         age,
         customer: customer.clone(),
         only_services: Vec::new(),
+        trial: 0,
     };
     let run = async {
         match delegate(traffic, &view, request).await {
@@ -172,8 +173,29 @@
     }
 }
 
-/// Runs a query in this process until its answer.
+/// Runs a query in this process until its answer. Quarantined content is refused, or
+/// runs as a trial.
 pub(super) async fn run_locally(traffic: &Traffic, request: QueryRequest) -> CallerAnswer {
+    let started = traffic.clock.now();
+    let trial = match trials::admit(traffic, &request).await {
+        Admitted::Freely => return run_query(traffic, request).await,
+        Admitted::Trial(trial) => trial,
+        Admitted::Refused(retry_after) => {
+            let reason = Refusal::Quarantined.to_string();
+            return CallerAnswer::not_run_until(retry_after, reason);
+        }
+    };
+    let waited = traffic.clock.now().since(started);
+    let request = QueryRequest {
+        trial: trial.number,
+        ..request.with_elapsed(waited, waited)
+    };
+    let answer = run_query(traffic, request).await;
+    trial.finish(&answer);
+    answer
+}
+
+async fn run_query(traffic: &Traffic, request: QueryRequest) -> CallerAnswer {
     let kind = request.kind.clone();
     let id = request.forward.as_ref().map(|forward| forward.id.clone());
     let id = id.unwrap_or_default();
@@ -233,9 +255,6 @@
 fn from_refusal(refusal: &Refusal) -> CallerAnswer {
     match refusal {
         Refusal::UnknownKind(_) => CallerAnswer::NotFound,
-        Refusal::Quarantined => {
-            CallerAnswer::not_run_until(QUARANTINE_DURATION, refusal.to_string())
-        }
         Refusal::Contended { retry_after, .. } => CallerAnswer::NotRun {
             retry_after: *retry_after,
             reason: refusal.to_string(),
--- a/crates/guavacourse/src/edge/gateway/serve.rs
+++ b/crates/guavacourse/src/edge/gateway/serve.rs
@@ -29,6 +29,7 @@
     queries::QueryServer,
     requests,
     stopping::Stopping,
+    trials::{TrialRequest, Trials},
 };
 use crate::{
     edge::{
@@ -94,6 +95,8 @@
     pub(super) metrics: Metrics,
     /// To the control thread.
     pub(super) findings: Sender<Finding>,
+    /// To the control thread.
+    pub(super) trials: Sender<TrialRequest>,
     pub(super) freshness: Freshness,
 }
 
@@ -113,6 +116,8 @@
     /// When the control thread last knew that it was up to date.
     pub(super) freshness: Freshness,
     pub(super) revocation: Revocation,
+    /// Trials of quarantined content.
+    pub(super) trials: Trials,
     /// Peers that run queries for this process.
     pub(super) peers: Rc<Peers>,
     /// Number of queries that run here for peers.
@@ -166,6 +171,7 @@
             stopping: self.stopping,
             freshness: self.freshness,
             revocation: self.config.revocation,
+            trials: Trials::new(self.trials),
             peers,
             running: Cell::new(0),
             max_running: delegation::max_peer_queries(self.config.power),
--- a/crates/guavacourse/src/edge/wire.rs
+++ b/crates/guavacourse/src/edge/wire.rs
@@ -65,6 +65,7 @@
         calls: calls.collect(),
         alone: part.get_alone(),
         canary: part.get_first(),
+        trial: 0,
         forward: None,
         customer: None,
     })
--- a/crates/guavacourse/src/modules/action.rs
+++ b/crates/guavacourse/src/modules/action.rs
@@ -299,6 +299,7 @@
                 extra,
             }],
             alone: self.suspected,
+            trial: 0,
             canary: self.canary && !self.suspected,
             forward: None,
             customer: None,
--- a/crates/guavacourse/src/modules/admission.rs
+++ b/crates/guavacourse/src/modules/admission.rs
@@ -78,7 +78,7 @@
         let added = view.quarantined.difference(&self.view.quarantined);
         let added: Vec<u64> = added.copied().collect();
         self.view = view;
-        self.findings.retain_suspected(&self.view.suspected);
+        self.findings.retain_suspected(&self.view);
         for content in added {
             self.refuse_content(content);
         }
@@ -273,11 +273,7 @@
         let Some(gate) = gate else {
             return Some(NotRun::NotOwner);
         };
-        let fingerprint = job.part.fingerprint;
-        if self.view.quarantined.contains(&fingerprint) {
-            return Some(NotRun::Quarantined);
-        }
-        match self.quarantine.verdict(fingerprint, job.part.alone, now) {
+        match self.verdict(job, now) {
             Verdict::Refused => return Some(NotRun::Quarantined),
             Verdict::Alone | Verdict::Held(_) if job.part.canary => {
                 return Some(NotRun::Suspected);
--- a/crates/guavacourse/src/modules/admission/findings.rs
+++ b/crates/guavacourse/src/modules/admission/findings.rs
@@ -2,12 +2,17 @@
 
 use std::collections::VecDeque;
 
-use super::{Admission, gate::DroppedCall, job::Step};
+use super::{
+    Admission,
+    gate::DroppedCall,
+    job::{Job, Step},
+};
 use crate::modules::{
     catalog::LeafId,
     collections::Set,
     crash_evidence::{CrashReport, CrashedLeaf, Finding, REPORT_DELAY},
     time::Time,
+    view::View,
 };
 
 /// Maximum number of reports that wait; further ones are not made.
@@ -29,8 +34,9 @@
     }
 
     /// Forgets reports of contents that the fleet no longer suspects.
-    pub(super) fn retain_suspected(&mut self, suspected: &Set<u64>) {
-        self.completed.retain(|content| suspected.contains(content));
+    pub(super) fn retain_suspected(&mut self, view: &View) {
+        self.completed
+            .retain(|content| is_suspected(view, *content));
     }
 }
 
@@ -41,15 +47,16 @@
         let Some(gate) = self.gates.get(&leaf) else {
             return;
         };
-        let listed = self.view.incarnations.get(&leaf);
-        for dropped in calls.iter().filter(|call| call.forwarded) {
+        let crashed = CrashedLeaf {
+            name: gate.name.clone(),
+            born: self.listed_incarnation(leaf),
+        };
+        for dropped in calls.iter().filter(|call| call.reported) {
             let report = CrashReport {
                 content: dropped.call.fingerprint,
-                leaf: CrashedLeaf {
-                    name: gate.name.clone(),
-                    born: listed.copied().unwrap_or_default(),
-                },
+                leaf: crashed.clone(),
                 alone: dropped.call.alone,
+                trial: 0,
             };
             if report.alone {
                 self.steps.push(Step::Report(Finding::Crashed(report)));
@@ -60,17 +67,41 @@
         }
     }
 
-    /// Withdraws what was found against content that a leaf has run to completion.
-    pub(super) fn report_completion(&mut self, content: u64) {
+    /// Reports a trial that its leaf may have begun and did not answer.
+    pub(super) fn report_failed_trial(&mut self, job: &Job) {
+        let Some(gate) = self.gates.get(&job.call.leaf) else {
+            return;
+        };
+        let report = CrashReport {
+            content: job.part.fingerprint,
+            leaf: CrashedLeaf {
+                name: gate.name.clone(),
+                born: self.listed_incarnation(job.call.leaf),
+            },
+            alone: true,
+            trial: job.part.trial,
+        };
+        self.steps.push(Step::Report(Finding::Crashed(report)));
+    }
+
+    /// Withdraws what was found against content that a leaf has answered.
+    pub(super) fn report_completion(&mut self, job: &Job) {
+        let content = job.part.fingerprint;
         self.findings
             .waiting
             .retain(|(_, report)| report.content != content);
-        let suspected = self.view.suspected.contains(&content);
-        if suspected && self.findings.completed.insert(content) {
+        let suspected = is_suspected(&self.view, content);
+        let new = suspected && self.findings.completed.insert(content);
+        if new || job.part.trial > 0 {
             self.steps.push(Step::Report(Finding::Completed(content)));
         }
     }
 
+    fn listed_incarnation(&self, leaf: LeafId) -> u64 {
+        let listed = self.view.incarnations.get(&leaf);
+        listed.copied().unwrap_or_default()
+    }
+
     /// Makes the reports that are due.
     pub(super) fn send_reports(&mut self, now: Time) {
         while self.findings.next_due().is_some_and(|due| due <= now) {
@@ -80,3 +111,7 @@
         }
     }
 }
+
+fn is_suspected(view: &View, content: u64) -> bool {
+    view.suspected.contains(&content) || view.quarantined.contains(&content)
+}
--- a/crates/guavacourse/src/modules/admission/gate.rs
+++ b/crates/guavacourse/src/modules/admission/gate.rs
@@ -39,6 +39,8 @@
     pub(super) suspect: bool,
     /// Whether it belongs to a forwarded request.
     pub(super) forwarded: bool,
+    /// Whether a crash of the leaf is reported to the fleet.
+    pub(super) reported: bool,
     pub(super) at: Time,
     /// Its reply, held back until it is known whether the leaf is alive.
     pub(super) reply: Option<(SessionId, Reply)>,
--- a/crates/guavacourse/src/modules/admission/outcome.rs
+++ b/crates/guavacourse/src/modules/admission/outcome.rs
@@ -294,6 +294,7 @@
         gate.dropped_calls.push(DroppedCall {
             call,
             forwarded,
+            reported: forwarded && job.part.trial == 0,
             suspect: !forwarded || !self.cleared.contains(call.fingerprint, now),
             at: now,
             reply: None,
@@ -323,7 +324,12 @@
         }
         let dropped_calls = std::mem::take(&mut gate.dropped_calls);
         let suspects = dropped_calls.iter().filter(|dropped| dropped.suspect);
-        let in_flight: Vec<InFlightCall> = suspects.map(|dropped| dropped.call).collect();
+        // The evidence of the fleet decides about forwarded content, and may be withdrawn.
+        let in_flight = suspects.map(|dropped| InFlightCall {
+            alone: dropped.call.alone && !dropped.forwarded,
+            ..dropped.call
+        });
+        let in_flight: Vec<InFlightCall> = in_flight.collect();
         self.counts.crashed += 1;
         self.report_crash(leaf, &dropped_calls, now);
         let quarantined = self.quarantine.record_crash(&in_flight, now);
@@ -351,18 +357,24 @@
         }
     }
 
-    /// Clears the content of a forwarded call that its leaf ran to completion: content
-    /// that crashes leaves crashes each leaf that begins to run it. Callers repeat
-    /// forwarded requests, so such content is often in flight on a leaf that fails for
-    /// another reason.
+    /// Clears the content of a forwarded call that its leaf answered, be it with a
+    /// failure: content that crashes leaves crashes each leaf that begins to run it.
+    /// Callers repeat forwarded requests, so such content is often in flight on a leaf
+    /// that fails for another reason.
     fn record_completion(&mut self, job: &Job, ending: &Ending, now: Time) {
-        if job.part.forward.is_none() || !has_rows(ending) {
+        if job.part.forward.is_none() {
+            return;
+        }
+        if !was_run(ending) {
+            if job.part.trial > 0 && matches!(ending, Ending::Lost(_)) {
+                self.report_failed_trial(job);
+            }
             return;
         }
         let content = job.part.fingerprint;
         self.cleared.add(content, now);
         self.quarantine.clear(content);
-        self.report_completion(content);
+        self.report_completion(job);
         if !job.alone {
             self.release_held(content, now);
         }
@@ -382,6 +394,14 @@
     }
 }
 
+/// Returns whether a leaf ran the call and answered it.
+fn was_run(ending: &Ending) -> bool {
+    let Ending::Answered(answer) = ending else {
+        return false;
+    };
+    matches!(answer.outcome, Outcome::Rows(_) | Outcome::Failed(_))
+}
+
 fn has_rows(ending: &Ending) -> bool {
     matches!(ending, Ending::Answered(answer) if matches!(answer.outcome, Outcome::Rows(_)))
 }
--- a/crates/guavacourse/src/modules/admission/queue.rs
+++ b/crates/guavacourse/src/modules/admission/queue.rs
@@ -173,12 +173,18 @@
         job.is_some_and(|job| self.verdict(job, now) == Verdict::Refused)
     }
 
-    fn verdict(&self, job: &Job, now: Time) -> Verdict {
+    /// Returns how to treat a call. The trial of quarantined content was granted by the
+    /// fleet.
+    pub(super) fn verdict(&self, job: &Job, now: Time) -> Verdict {
         let fingerprint = job.part.fingerprint;
+        if job.part.trial > 0 {
+            return Verdict::Alone;
+        }
         if self.view.quarantined.contains(&fingerprint) {
             return Verdict::Refused;
         }
-        self.quarantine.verdict(fingerprint, job.alone, now)
+        let marked = job.alone || job.part.alone;
+        self.quarantine.verdict(fingerprint, marked, now)
     }
 
     /// Returns the next call that may run alone. Skips calls that are still held
--- a/crates/guavacourse/src/modules/call.rs
+++ b/crates/guavacourse/src/modules/call.rs
@@ -57,6 +57,9 @@
     /// Whether no leaf is known to have run the content. A leaf runs one such call
     /// with the same content at a time, and the others wait for its outcome.
     pub canary: bool,
+    /// Number of the trial of quarantined content; 0 if it is none. It is not sent to
+    /// relays of other processes.
+    pub trial: u32,
     /// The caller's own request, for leaves that take it unchanged.
     pub forward: Option<Arc<ForwardedRequest>>,
     /// Customer of the caller, if it is known.
--- a/crates/guavacourse/src/modules/crash_evidence.rs
+++ b/crates/guavacourse/src/modules/crash_evidence.rs
@@ -5,6 +5,10 @@
 //! any process, so the reports of all processes decide: content under which several
 //! leaves have crashed, or one leaf that ran nothing else, is quarantined. That holds
 //! for content which leaves ran before, too: data changes, and so does what it crashes.
+//!
+//! Leaves that fail together look the same, so no quarantine is final: a request with
+//! the content is tried on one leaf from time to time, ever more rarely, until a leaf
+//! answers it. `docs/design/crash-evidence.md` lists the kinds of evidence.
 
 use std::time::Duration;
 
@@ -12,7 +16,6 @@
 
 use super::{
     collections::{Map, Set},
-    quarantine::QUARANTINE_DURATION,
     time::Time,
 };
 
@@ -26,6 +29,21 @@
 /// Maximum number of contents with reports; the oldest is evicted.
 const MAX_CONTENTS: usize = 1_024;
 
+/// Maximum number of reports kept for one content.
+const MAX_REPORTS: usize = 64;
+
+/// Time from a verdict to the first trial of the content.
+pub const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(2);
+
+/// Factor by which the time to the next trial grows with each that failed.
+const TRIAL_DELAY_FACTOR: u32 = 8;
+
+/// Longest time to the next trial.
+pub const MAX_TRIAL_DELAY: Duration = Duration::from_mins(30);
+
+/// Time for which content stays quarantined after a trial is due, if nobody sends it.
+const FORGET_DELAY: Duration = Duration::from_mins(30);
+
 /// A leaf that crashed. It may start again under its name, as another incarnation.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
@@ -36,7 +54,7 @@
     pub born: u64,
 }
 
-/// A crash of a leaf while it ran a request.
+/// A crash of a leaf while it ran a request, or a trial that its leaf did not answer.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
 pub struct CrashReport {
@@ -46,6 +64,18 @@
     pub leaf: CrashedLeaf,
     /// Whether the leaf ran nothing else.
     pub alone: bool,
+    /// Number of the trial of quarantined content, from 1; 0 if it was none.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub trial: u32,
+}
+
+/// The next trial of quarantined content.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Trial {
+    /// Its number, from 1.
+    pub number: u32,
+    /// When it may begin.
+    pub due: Time,
 }
 
 /// What a relay has found out about request content.
@@ -72,8 +102,8 @@
     crashes: Map<CrashedLeaf, CrashReport>,
     /// When the first report arrived.
     since: Time,
-    /// When the quarantine ends, if there is one.
-    until: Option<Time>,
+    /// The next trial, if the content is quarantined.
+    trial: Option<Trial>,
 }
 
 impl CrashEvidence {
@@ -86,65 +116,91 @@
             .or_insert_with(|| Reports {
                 crashes: Map::default(),
                 since: now,
-                until: None,
+                trial: None,
             });
-        let leaf = report.leaf.clone();
-        if reports.until.is_some() || reports.crashes.get(&leaf) == Some(&report) {
+        let known = reports.crashes.get(&report.leaf);
+        let full = known.is_none() && reports.crashes.len() >= MAX_REPORTS;
+        if known == Some(&report) || (full && report.trial == 0) {
             return false;
         }
-        reports.crashes.insert(leaf, report);
-        if reports.proved() {
-            reports.until = Some(now.after(QUARANTINE_DURATION));
+        let failed = report.trial;
+        reports.crashes.insert(report.leaf.clone(), report);
+        let number = reports.trial.map_or(0, |trial| trial.number);
+        if reports.trial.is_some() && failed >= number {
+            reports.schedule(failed, now);
+        } else if reports.trial.is_none() && reports.proved() {
+            let failed = reports.crashes.values().map(|report| report.trial).max();
+            reports.schedule(failed.unwrap_or_default(), now);
         }
         true
     }
 
-    /// Removes the report about a leaf, unless the content is quarantined. Returns
-    /// whether there was one.
+    /// Removes the report about a leaf because its entry is gone, unless the content is
+    /// quarantined: entries end with their lease, which proves nothing. Returns whether
+    /// there was one.
     pub fn remove(&mut self, content: u64, leaf: &CrashedLeaf) -> bool {
+        !self.is_quarantined(content) && self.withdraw(content, leaf)
+    }
+
+    /// Removes the report about a leaf because a leaf has answered the content. Ends the
+    /// quarantine if the other reports do not prove anything. Returns whether there was
+    /// one.
+    pub fn withdraw(&mut self, content: u64, leaf: &CrashedLeaf) -> bool {
         let Some(reports) = self.contents.get_mut(&content) else {
             return false;
         };
-        if reports.until.is_some() || reports.crashes.remove(leaf).is_none() {
+        if reports.crashes.remove(leaf).is_none() {
             return false;
         }
+        if !reports.proved() {
+            reports.trial = None;
+        }
         if reports.crashes.is_empty() {
             self.contents.remove(&content);
         }
         true
     }
 
-    /// Ends quarantines that have lasted long enough. Returns whether there were any.
+    /// Ends quarantines of content that nobody has sent for long. Returns whether there
+    /// were any.
     pub fn expire(&mut self, now: Time) -> bool {
         let count = self.contents.len();
         self.contents
-            .retain(|_, reports| reports.until.is_none_or(|until| now < until));
+            .retain(|_, reports| reports.expiry().is_none_or(|expiry| now < expiry));
         self.contents.len() != count
     }
 
     /// Returns when [`Self::expire`] is due next.
     #[must_use]
     pub fn next_expiry(&self) -> Option<Time> {
-        self.contents.values().filter_map(|r| r.until).min()
+        self.contents.values().filter_map(Reports::expiry).min()
     }
 
     /// Returns whether content is quarantined.
     #[must_use]
     pub fn is_quarantined(&self, content: u64) -> bool {
         let reports = self.contents.get(&content);
-        reports.is_some_and(|reports| reports.until.is_some())
+        reports.is_some_and(|reports| reports.trial.is_some())
     }
 
     /// Returns the contents that are quarantined.
     #[must_use]
     pub fn quarantined(&self) -> Set<u64> {
-        self.select(|reports| reports.until.is_some())
+        self.select(|reports| reports.trial.is_some())
+    }
+
+    /// Returns the next trial of each content that is quarantined.
+    #[must_use]
+    pub fn trials(&self) -> Map<u64, Trial> {
+        let contents = self.contents.iter();
+        let trials = contents.map(|(content, reports)| Some((*content, reports.trial?)));
+        trials.flatten().collect()
     }
 
     /// Returns the contents with reports that prove nothing yet.
     #[must_use]
     pub fn suspected(&self) -> Set<u64> {
-        self.select(|reports| reports.until.is_none())
+        self.select(|reports| reports.trial.is_none())
     }
 
     /// Returns all reports.
@@ -185,4 +241,27 @@
         let alone = self.crashes.values().any(|report| report.alone);
         alone || self.crashes.len() >= CRASHES_TO_QUARANTINE
     }
+
+    /// Schedules the trial that follows this number of failed ones.
+    fn schedule(&mut self, failed: u32, now: Time) {
+        let factor = TRIAL_DELAY_FACTOR.saturating_pow(failed);
+        let delay = FIRST_TRIAL_DELAY.saturating_mul(factor);
+        self.trial = Some(Trial {
+            number: failed.saturating_add(1),
+            due: now.after(delay.min(MAX_TRIAL_DELAY)),
+        });
+    }
+
+    /// Returns when the quarantine ends, if there is one.
+    fn expiry(&self) -> Option<Time> {
+        self.trial.map(|trial| trial.due.after(FORGET_DELAY))
+    }
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "the signature that serde expects"
+)]
+fn is_zero(number: &u32) -> bool {
+    *number == 0
 }
--- a/crates/guavacourse/src/modules/directory.rs
+++ b/crates/guavacourse/src/modules/directory.rs
@@ -159,6 +159,7 @@
             Change::MemberGone(name) => self.member_missing(name, now),
             Change::Crashed(report) => self.record_crash(report, now),
             Change::CrashGone { content, leaf } => self.forget_crash(content, leaf),
+            Change::CrashWithdrawn { content, leaf } => self.withdraw_crash(content, leaf),
             Change::Evacuated(data_centre) => self.evacuate(data_centre),
             Change::EvacuationEnded(data_centre) => self.evacuation_missing(&data_centre, now),
             Change::Unreadable { key, fault } => {
@@ -619,6 +620,19 @@
         known
     }
 
+    /// Withdraws the report of a crash. Returns whether it was known.
+    fn withdraw_crash(&mut self, content: u64, leaf: CrashedLeaf) -> bool {
+        let quarantined = self.crashes.is_quarantined(content);
+        let known = self.crashes.withdraw(content, &leaf);
+        if known {
+            self.changes.push(Change::CrashWithdrawn { content, leaf });
+        }
+        if quarantined && !self.crashes.is_quarantined(content) {
+            self.events.push(DirectoryEvent::Released { content });
+        }
+        known
+    }
+
     fn remove_leaf(&mut self, name: &str) {
         if let Some(held) = self.leaves.remove(name) {
             let leaf = name.to_owned();
--- a/crates/guavacourse/src/modules/directory/records.rs
+++ b/crates/guavacourse/src/modules/directory/records.rs
@@ -81,6 +81,13 @@
         /// The leaf.
         leaf: CrashedLeaf,
     },
+    /// The report of a crash was withdrawn, because a leaf has answered the content.
+    CrashWithdrawn {
+        /// Fingerprint of the request's content.
+        content: u64,
+        /// The leaf.
+        leaf: CrashedLeaf,
+    },
     /// Operators asked that nothing is sent to the leaves of a data centre.
     Evacuated(String),
     /// Operators took that back.
@@ -188,6 +195,11 @@
         /// The leaves.
         leaves: Vec<CrashedLeaf>,
     },
+    /// Request content is no longer quarantined, because a leaf has answered it.
+    Released {
+        /// Its fingerprint.
+        content: u64,
+    },
     /// Nothing is sent to the leaves of a data centre.
     Evacuated {
         /// Name of the data centre.
--- a/crates/guavacourse/src/modules/mod.rs
+++ b/crates/guavacourse/src/modules/mod.rs
@@ -73,5 +73,6 @@
 pub mod throughput;
 pub mod tickets;
 pub mod time;
+pub mod trial_claims;
 pub mod view;
 pub mod wait_estimator;
--- a/crates/guavacourse/src/modules/query.rs
+++ b/crates/guavacourse/src/modules/query.rs
@@ -58,6 +58,8 @@
     /// Indexes of the requested services in the kind's list, if a peer runs the
     /// other parts of the query; empty requests all services.
     pub only_services: Vec<u16>,
+    /// Number of the trial of quarantined content that the request is; 0 if it is none.
+    pub trial: u32,
 }
 
 /// Shortest deadline that a request is given; a deadline of zero is refused.
@@ -208,7 +210,10 @@
         if adaptive {
             admission::start_throttled(&view, balancer, rules, &request, &params, now)?;
         }
-        let slots = plan_slots(&view, kind, &params.services);
+        let mut slots = plan_slots(&view, kind, &params.services);
+        if request.trial > 0 {
+            slots.iter_mut().for_each(Slot::limit_to_one_call);
+        }
         let planned = slots.len().max(params.services.len());
         let reachable = |slot: &Slot| admission::is_reachable(&view, slot.shard, &params.regions);
         let unreachable: Vec<usize> = (0..slots.len())
--- a/crates/guavacourse/src/modules/query/calls.rs
+++ b/crates/guavacourse/src/modules/query/calls.rs
@@ -354,6 +354,7 @@
     }
 
     pub(super) fn build_part(&self, now: Time) -> Part {
+        let alone = self.suspicion.testing() || self.request.trial > 0;
         Part {
             kind: self.request.kind.clone(),
             worth: self.params.worth,
@@ -368,8 +369,9 @@
             fingerprint: self.trace.fingerprint,
             body: Arc::clone(&self.request.body),
             calls: Vec::new(),
-            alone: self.suspicion.testing(),
-            canary: self.canary != Canary::Inactive && !self.suspicion.testing(),
+            alone,
+            canary: self.canary != Canary::Inactive && !alone,
+            trial: self.request.trial,
             forward: self.request.forward.clone(),
             customer: self.request.customer.clone(),
         }
--- a/crates/guavacourse/src/modules/query/canary.rs
+++ b/crates/guavacourse/src/modules/query/canary.rs
@@ -36,8 +36,8 @@
     /// Decides whether a canary call is sent ahead of the others.
     pub(super) fn plan_canary(&mut self, enabled: bool, ctx: &EventContext<'_>) {
         let content = self.trace.fingerprint;
-        let needed =
-            enabled && !self.slots.is_empty() && !ctx.balancer.cleared.contains(content, ctx.now);
+        let unknown = enabled && !ctx.balancer.cleared.contains(content, ctx.now);
+        let needed = !self.slots.is_empty() && (unknown || self.is_trial());
         self.canary = if needed {
             Canary::Due
         } else {
@@ -65,24 +65,38 @@
         };
         let idle = |slot: &Slot| !slot.is_open() || slot.uncalled() || slot.held();
         if self.suspicion.confirmed() {
-            self.canary = Canary::Inactive;
-            for index in 0..self.slots.len() {
-                self.close(index);
-            }
+            self.give_up();
         } else if ran {
             self.end_canary(ctx);
         } else if self.slots.iter().all(idle) {
+            if self.is_trial() {
+                return self.give_up();
+            }
             self.send_canary(ctx);
         }
     }
 
+    /// Returns whether the request is the trial of quarantined content, of which only one
+    /// call may reach a leaf unless that leaf answers.
+    fn is_trial(&self) -> bool {
+        self.request.trial > 0
+    }
+
+    /// Sends no further calls.
+    fn give_up(&mut self) {
+        self.canary = Canary::Inactive;
+        for index in 0..self.slots.len() {
+            self.close(index);
+        }
+    }
+
     /// Sends another canary call if the latest is late, or the other calls if no
     /// canary call has returned by the canary deadline.
     pub(super) fn on_canary_timer(&mut self, ctx: &mut EventContext<'_>) {
         let Canary::Waiting { calls, until } = self.canary else {
             return;
         };
-        if !self.suspicion.may_hedge() || until > ctx.now {
+        if !self.suspicion.may_hedge() || until > ctx.now || self.is_trial() {
             return;
         }
         let running = self.slots.iter().any(|slot| slot.pending > 0);
@@ -103,7 +117,9 @@
     /// runs alone.
     pub(super) fn canary_late_at(&self) -> Option<Time> {
         match self.canary {
-            Canary::Waiting { until, .. } if self.suspicion.may_hedge() => Some(until),
+            Canary::Waiting { until, .. } if self.suspicion.may_hedge() && !self.is_trial() => {
+                Some(until)
+            }
             _ => None,
         }
     }
--- a/crates/guavacourse/src/modules/query/plan.rs
+++ b/crates/guavacourse/src/modules/query/plan.rs
@@ -136,6 +136,11 @@
         self.calls < MAX_CALLS && (self.max_exposed == 0 || self.exposed < self.max_exposed)
     }
 
+    /// Allows only one call that may run.
+    pub(crate) fn limit_to_one_call(&mut self) {
+        self.max_exposed = 1;
+    }
+
     /// Returns whether its first call is held.
     pub(crate) fn held(&self) -> bool {
         self.concession == Concession::Held
--- a/crates/guavacourse/src/modules/view.rs
+++ b/crates/guavacourse/src/modules/view.rs
@@ -5,6 +5,7 @@
 use super::{
     catalog::{Catalog, LeafId},
     collections::{Map, Set},
+    crash_evidence::Trial,
     members::Member,
     placement::{draining::DrainPeriod, warm_up::ColdLeaf},
     shares::Shares,
@@ -35,6 +36,8 @@
     pub incarnations: Map<LeafId, u64>,
     /// Fingerprints of request contents that have crashed backend servers.
     pub quarantined: Set<u64>,
+    /// Next trials of request contents that are quarantined.
+    pub trials: Map<u64, Trial>,
     /// Fingerprints of request contents under which leaves have crashed, without proof.
     pub suspected: Set<u64>,
     /// Shares of the fleet's extra calls that this process may use.
--- a/crates/guavacourse/tests/contention/fleet.rs
+++ b/crates/guavacourse/tests/contention/fleet.rs
@@ -188,6 +188,7 @@
             age: Duration::ZERO,
             customer: None,
             only_services: Vec::new(),
+            trial: 0,
         };
         let now = ms(self.now);
         let balancer = &mut self.balancers[instance];
--- a/crates/guavacourse/tests/directory.rs
+++ b/crates/guavacourse/tests/directory.rs
@@ -336,6 +336,7 @@
         content,
         leaf: crashed_leaf(leaf),
         alone: false,
+        trial: 0,
     })
 }
 
@@ -559,6 +560,7 @@
             born: 1,
         },
         alone: false,
+        trial: 0,
     };
     for restored in [false, true] {
         let mut directory = directory();
--- a/crates/guavacourse/tests/placement/replay.rs
+++ b/crates/guavacourse/tests/placement/replay.rs
@@ -333,6 +333,7 @@
             age: Duration::ZERO,
             customer: None,
             only_services: Vec::new(),
+            trial: 0,
         };
         let view = Arc::clone(&self.view);
         let started = Query::start(view, &mut self.choosers[chooser], request, self.now);
--- a/crates/guavacourse/tests/policy/simulation.rs
+++ b/crates/guavacourse/tests/policy/simulation.rs
@@ -226,6 +226,7 @@
             age: Duration::ZERO,
             customer: None,
             only_services: Vec::new(),
+            trial: 0,
         };
         let view = Arc::clone(&self.view);
         let started = Query::start(view, &mut self.balancers[entry], request, self.now);
--- a/crates/guavacourse/tests/query/fixture.rs
+++ b/crates/guavacourse/tests/query/fixture.rs
@@ -327,5 +327,6 @@
         age: Duration::ZERO,
         customer: None,
         only_services: Vec::new(),
+        trial: 0,
     }
 }
