fix(quarantine): tell request content apart by its caller and its method

Cause: the fingerprint of content was made of its kind, target and body. Each answer to the other customer counted as proof that the content is harmless, and withdrew the reports of the crashes on all processes. Leaves see more than that: the customer, the headers by which a caller identifies itself where there are no customers, and the method.

The fingerprint now covers the method and a hash of the caller, which peers receive with a query that they run (wire.capnp, `caller`).

--- a/crates/guavacourse/schema/wire.capnp
+++ b/crates/guavacourse/schema/wire.capnp
@@ -272,6 +272,8 @@
   leastCoverage @10 :Float64 = -1;
   # Name of the caller's customer; empty if it has none.
   customer @11 :Text;
+  # Hash of who the caller is; 0 if that is not known.
+  caller @12 :UInt64;
 }
 
 struct Header {
--- a/crates/guavacourse/src/edge/gateway/query_wire.rs
+++ b/crates/guavacourse/src/edge/gateway/query_wire.rs
@@ -45,6 +45,7 @@
     out.set_method(&forward.method);
     out.set_target(&forward.target);
     out.set_id(&forward.id);
+    out.set_caller(forward.caller);
     let mut headers = out.init_headers(list_len(forward.headers.len()));
     for (index, (name, value)) in (0..).zip(&forward.headers) {
         let mut header = headers.reborrow().get(index);
@@ -76,6 +77,7 @@
         target: query.get_target()?.to_string()?,
         id: query.get_id()?.to_string()?,
         headers,
+        caller: query.get_caller(),
     };
     let request = QueryRequest {
         kind: query.get_kind()?.to_string()?,
--- a/crates/guavacourse/src/edge/gateway/requests.rs
+++ b/crates/guavacourse/src/edge/gateway/requests.rs
@@ -16,7 +16,7 @@
     edge::entry::QueryRunner,
     modules::{
         answer::{Answer, AnswerRows, Failure, Reason, Refusal},
-        catalog::KindEntry,
+        catalog::{KindEntry, stable_hash},
         customers::{Credential, Customer},
         query::{MIN_DEADLINE, QueryRequest, allowed_regions},
         view::View,
@@ -124,6 +124,7 @@
 ) -> Result<Option<Arc<Customer>>, CallerAnswer> {
     let identity = std::mem::take(&mut incoming.identity);
     let Some(keyring) = &view.catalog.customers else {
+        incoming.forwarded.caller = hash_identity(&identity);
         incoming.forwarded.headers.extend(identity);
         return Ok(None);
     };
@@ -136,9 +137,20 @@
         let reason = "this process cannot tell whether the key was revoked; repeat elsewhere";
         return Err(CallerAnswer::not_run(reason));
     }
-    found.map_err(|denial| {
+    let customer = found.map_err(|denial| {
         explain::log_denial(traffic, &incoming.forwarded.id, &kind.rules.name, denial);
         CallerAnswer::Unauthorized(denial)
+    })?;
+    if let Some(customer) = &customer {
+        incoming.forwarded.caller = stable_hash(customer.name.as_bytes());
+    }
+    Ok(customer)
+}
+
+/// Returns the hash of the headers by which a caller identifies itself; 0 for none.
+fn hash_identity(headers: &[(String, String)]) -> u64 {
+    headers.iter().fold(0, |hash, (name, value)| {
+        hash ^ stable_hash(format!("{name}: {value}").as_bytes())
     })
 }
 
--- a/crates/guavacourse/src/modules/call.rs
+++ b/crates/guavacourse/src/modules/call.rs
@@ -78,6 +78,8 @@
     pub id: String,
     /// End-to-end headers.
     pub headers: Vec<(String, String)>,
+    /// Hash of who the caller is, as far as leaves learn it; 0 if that is not known.
+    pub caller: u64,
 }
 
 /// Status, signature and media type of a leaf's reply that the caller receives
@@ -237,6 +239,23 @@
     Exhausted,
 }
 
+impl ForwardedRequest {
+    /// Returns the fingerprint of its content with this kind and body: equal in every
+    /// process for all that a leaf may depend on and a repetition has in common, which
+    /// includes the caller.
+    #[must_use]
+    pub fn fingerprint(&self, kind: &str, body: &[u8]) -> u64 {
+        let Self {
+            method,
+            target,
+            caller,
+            ..
+        } = self;
+        let line = format!("{method} {target} {caller:x}");
+        fingerprint(kind, body) ^ stable_hash(line.as_bytes())
+    }
+}
+
 /// Returns the fingerprint of a request's content: equal in every process for
 /// the same kind and body, whichever caller sends it.
 #[must_use]
--- a/crates/guavacourse/src/modules/query.rs
+++ b/crates/guavacourse/src/modules/query.rs
@@ -25,7 +25,6 @@
 use super::{
     answer::{Answer, Cause, ForwardedReply, Reason, Refusal, Trace},
     call::{AttemptId, ForwardedRequest, NotRun, Outcome, Part, Reply, Unknown, fingerprint},
-    catalog::stable_hash,
     coverage::CoverageTally,
     customers::{AllowedRegions, Customer},
     exposure::Exposure,
@@ -81,9 +80,10 @@
     /// Returns the fingerprint of the content, equal for a repeated request.
     #[must_use]
     pub fn fingerprint(&self) -> u64 {
-        let own = fingerprint(&self.kind, &self.body);
-        let target = self.forward.as_ref().map(|forward| &forward.target);
-        target.map_or(own, |target| own ^ stable_hash(target.as_bytes()))
+        match &self.forward {
+            Some(forward) => forward.fingerprint(&self.kind, &self.body),
+            None => fingerprint(&self.kind, &self.body),
+        }
     }
 }
 
