fix(delegation): run requests to a single leaf here, and pass a leaf's reply on from peers

Callers of bookings never learned that these ran.

Cause: a kind with eight services counted as a query over many shards, also where each request goes to one of them by weight. A strong peer ran it, and its result had no form for a leaf's whole reply, so it was sent back as a failure. A process that has just started and knows no leaf hands over requests to a single leaf as well, and lost their answers in the same way.

Requests of a split route are run here. What a query ends with is a type of its own (`QueryAnswer`), whose cases all have a form between processes, checked by the compiler; the wire gains a leaf's whole reply (status, signature, media type, body). A kind that is gone from the configuration is declined and no failure.

--- a/crates/guavacourse/schema/wire.capnp
+++ b/crates/guavacourse/schema/wire.capnp
@@ -290,6 +290,8 @@
     notRun @2 :Text;
     late @3 :Void;
     failed @4 :Void;
+    # The reply of the only leaf that the query was for.
+    whole @6 :Whole;
   }
   # Time after which a query that was not run may be repeated; 0 if it is not known.
   retryMicros @5 :UInt64;
@@ -304,6 +306,14 @@
   services @3 :List(UInt16);
 }
 
+struct Whole {
+  status @0 :UInt16;
+  signature @1 :Text;
+  # Media type.
+  media @2 :Text;
+  body @3 :Data;
+}
+
 enum Declined {
   # Another version of the configuration is in force in this process.
   revision @0;
--- a/crates/guavacourse/src/edge/gateway/call_router.rs
+++ b/crates/guavacourse/src/edge/gateway/call_router.rs
@@ -8,7 +8,7 @@
 use super::{
     peer_call::{self, PeerOutcome},
     peers::Peers,
-    protocol::CallerAnswer,
+    query_answer::QueryAnswer,
 };
 use crate::{
     edge::{entry::CallSender, published::Published, relay::LocalRelay},
@@ -159,13 +159,13 @@
 /// records of all, the others an empty body.
 fn replies(part: &Part, positions: &[u16], peer_outcome: PeerOutcome) -> Vec<Reply> {
     let outcome = match peer_outcome {
-        PeerOutcome::Completed(CallerAnswer::Records {
+        PeerOutcome::Completed(QueryAnswer::Records {
             body,
             signatures,
             services: answered,
             ..
         }) => return record_replies(part, positions, body.into(), &answered, signatures),
-        PeerOutcome::Completed(CallerAnswer::NotRun { .. }) | PeerOutcome::NotRun => {
+        PeerOutcome::Completed(QueryAnswer::NotRun { .. }) | PeerOutcome::NotRun => {
             Outcome::NotRun(NotRun::Unreachable)
         }
         PeerOutcome::Completed(_) | PeerOutcome::Unknown => Outcome::Unknown(Unknown::Exhausted),
--- a/crates/guavacourse/src/edge/gateway/mod.rs
+++ b/crates/guavacourse/src/edge/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod peers;
 mod protocol;
 mod queries;
+mod query_answer;
 mod query_wire;
 mod registry;
 mod requests;
--- a/crates/guavacourse/src/edge/gateway/peer_call.rs
+++ b/crates/guavacourse/src/edge/gateway/peer_call.rs
@@ -7,7 +7,7 @@
 
 use super::{
     peers::Peers,
-    protocol::CallerAnswer,
+    query_answer::QueryAnswer,
     query_wire::{self, Reply},
 };
 use crate::{
@@ -31,7 +31,7 @@
 #[derive(Debug)]
 pub(super) enum PeerOutcome {
     /// The peer ran the query.
-    Completed(CallerAnswer),
+    Completed(QueryAnswer),
     /// The peer provably did not run it.
     NotRun,
     /// The peer may have run it, and was lost or late.
--- a/crates/guavacourse/src/edge/gateway/protocol.rs
+++ b/crates/guavacourse/src/edge/gateway/protocol.rs
@@ -89,10 +89,16 @@
     /// `earliest`, with a random retry delay from then on.
     pub(super) fn not_run_until(earliest: Duration, reason: impl Into<String>) -> Self {
         Self::NotRun {
-            retry_after: earliest.max(MIN_RETRY_DELAY) + RETRY_JITTER.mul_f64(fastrand::f64()),
+            retry_after: Self::retry_delay(earliest),
             reason: reason.into(),
         }
     }
+
+    /// Returns the delay after which a request that leaves take after `earliest` may be
+    /// repeated, with jitter.
+    pub(super) fn retry_delay(earliest: Duration) -> Duration {
+        earliest.max(MIN_RETRY_DELAY) + RETRY_JITTER.mul_f64(fastrand::f64())
+    }
 }
 
 /// Translates between the protocol of callers and the gateway's types.
--- a/crates/guavacourse/src/edge/gateway/query_wire.rs
+++ b/crates/guavacourse/src/edge/gateway/query_wire.rs
@@ -5,18 +5,23 @@
 
 use capnp::{Result, primitive_list, text_list};
 
-use super::protocol::CallerAnswer;
+use super::query_answer::QueryAnswer;
 use crate::{
     edge::wire::list_len,
-    generated::wire_capnp::{Declined, query, records, result},
-    modules::{call::ForwardedRequest, query::QueryRequest, time::micros},
+    generated::wire_capnp::{Declined, query, records, result, whole},
+    modules::{
+        answer::ForwardedReply,
+        call::{ForwardedRequest, Origin},
+        query::QueryRequest,
+        time::micros,
+    },
 };
 
 /// Reply of a peer to a query.
 #[derive(Debug)]
 pub(super) enum Reply {
     /// The peer ran the query.
-    Completed(CallerAnswer),
+    Completed(QueryAnswer),
     /// The peer declined the query and did not run it.
     Declined(Declined),
 }
@@ -101,7 +106,7 @@
 pub(super) fn write_result(mut out: result::Builder<'_>, reply: &Reply) {
     match reply {
         Reply::Declined(reason) => out.set_declined(*reason),
-        Reply::Completed(CallerAnswer::Records {
+        Reply::Completed(QueryAnswer::Records {
             body,
             signatures,
             services,
@@ -119,26 +124,41 @@
                 signatures,
             );
         }
-        Reply::Completed(CallerAnswer::NotRun {
+        Reply::Completed(QueryAnswer::Whole(reply)) => write_whole(out.init_whole(), reply),
+        Reply::Completed(QueryAnswer::NotRun {
             retry_after,
             reason,
         }) => {
             out.set_retry_micros(micros(*retry_after));
             out.set_not_run(reason);
         }
-        Reply::Completed(CallerAnswer::Late) => out.set_late(()),
-        // Apart from `Failed`, queries over many shards end with none of these.
-        Reply::Completed(
-            CallerAnswer::Failed
-            | CallerAnswer::Whole(_)
-            | CallerAnswer::Invalid(_)
-            | CallerAnswer::NotFound
-            | CallerAnswer::Unauthorized(_)
-            | CallerAnswer::OverQuota { .. },
-        ) => out.set_failed(()),
+        // The kind was there when the query was accepted.
+        Reply::Completed(QueryAnswer::UnknownKind) => out.set_declined(Declined::Revision),
+        Reply::Completed(QueryAnswer::Late) => out.set_late(()),
+        Reply::Completed(QueryAnswer::Failed) => out.set_failed(()),
     }
 }
 
+fn write_whole(mut out: whole::Builder<'_>, reply: &ForwardedReply) {
+    let origin = &reply.origin;
+    out.set_status(origin.status);
+    out.set_signature(&origin.signature);
+    out.set_media(&origin.media);
+    out.set_body(&reply.body);
+}
+
+fn read_whole(whole: whole::Reader<'_>) -> Result<ForwardedReply> {
+    let origin = Origin {
+        status: whole.get_status(),
+        signature: whole.get_signature()?.to_string()?,
+        media: whole.get_media()?.to_string()?,
+    };
+    Ok(ForwardedReply {
+        origin: Arc::new(origin),
+        body: Arc::from(whole.get_body()?),
+    })
+}
+
 fn write_signatures(mut list: text_list::Builder<'_>, signatures: &[String]) {
     for (index, signature) in (0..).zip(signatures) {
         list.set(index, signature);
@@ -156,22 +176,23 @@
     Ok(match result.which()? {
         result::Which::Declined(reason) => Reply::Declined(reason?),
         result::Which::Records(records) => Reply::Completed(read_records(records?)?),
-        result::Which::NotRun(why) => Reply::Completed(CallerAnswer::NotRun {
+        result::Which::Whole(whole) => Reply::Completed(QueryAnswer::Whole(read_whole(whole?)?)),
+        result::Which::NotRun(why) => Reply::Completed(QueryAnswer::NotRun {
             retry_after: Duration::from_micros(result.get_retry_micros()),
             reason: why?.to_string()?,
         }),
-        result::Which::Late(()) => Reply::Completed(CallerAnswer::Late),
-        result::Which::Failed(()) => Reply::Completed(CallerAnswer::Failed),
+        result::Which::Late(()) => Reply::Completed(QueryAnswer::Late),
+        result::Which::Failed(()) => Reply::Completed(QueryAnswer::Failed),
     })
 }
 
-fn read_records(records: records::Reader<'_>) -> Result<CallerAnswer> {
+fn read_records(records: records::Reader<'_>) -> Result<QueryAnswer> {
     let mut signatures = Vec::new();
     for signature in records.get_signatures()? {
         signatures.push(signature?.to_string()?);
     }
     let missing = usize::try_from(records.get_missing()).unwrap_or(usize::MAX);
-    Ok(CallerAnswer::Records {
+    Ok(QueryAnswer::Records {
         body: records.get_body()?.to_vec(),
         signatures,
         services: records.get_services()?.iter().collect(),
--- a/crates/guavacourse/src/edge/gateway/requests.rs
+++ b/crates/guavacourse/src/edge/gateway/requests.rs
@@ -9,6 +9,7 @@
     explain,
     peer_call::{self, PeerOutcome},
     protocol::{CallerAnswer, CallerRequest},
+    query_answer::QueryAnswer,
     serve::Traffic,
     trials::{self, Admitted},
 };
@@ -91,8 +92,8 @@
     };
     let run = async {
         match delegate(traffic, &view, request).await {
-            Ok(answer) => answer,
-            Err(request) => run_locally(traffic, request).await,
+            Ok(answer) => answer.into(),
+            Err(request) => run_locally(traffic, request).await.into(),
         }
     };
     let expired = async {
@@ -163,7 +164,7 @@
     traffic: &Traffic,
     view: &Arc<View>,
     request: QueryRequest,
-) -> Result<CallerAnswer, QueryRequest> {
+) -> Result<QueryAnswer, QueryRequest> {
     let sent = traffic.clock.now();
     let kind = view.catalog.kinds.get(&request.kind);
     let customer = request.customer.as_deref();
@@ -180,21 +181,21 @@
     let waited = traffic.clock.now().since(sent);
     match outcome {
         PeerOutcome::Completed(answer) => Ok(answer),
-        PeerOutcome::Unknown => Ok(CallerAnswer::Failed),
+        PeerOutcome::Unknown => Ok(QueryAnswer::Failed),
         PeerOutcome::NotRun => Err(request.with_elapsed(waited, waited)),
     }
 }
 
 /// Runs a query in this process until its answer. Quarantined content is refused, or
 /// runs as a trial.
-pub(super) async fn run_locally(traffic: &Traffic, request: QueryRequest) -> CallerAnswer {
+pub(super) async fn run_locally(traffic: &Traffic, request: QueryRequest) -> QueryAnswer {
     let started = traffic.clock.now();
     let trial = match trials::admit(traffic, &request).await {
         Admitted::Freely => return run_query(traffic, request).await,
         Admitted::Trial(trial) => trial,
         Admitted::Refused(retry_after) => {
             let reason = Refusal::Quarantined.to_string();
-            return CallerAnswer::not_run_until(retry_after, reason);
+            return QueryAnswer::not_run_until(retry_after, reason);
         }
     };
     let waited = traffic.clock.now().since(started);
@@ -207,7 +208,7 @@
     answer
 }
 
-async fn run_query(traffic: &Traffic, request: QueryRequest) -> CallerAnswer {
+async fn run_query(traffic: &Traffic, request: QueryRequest) -> QueryAnswer {
     let kind = request.kind.clone();
     let id = request.forward.as_ref().map(|forward| forward.id.clone());
     let id = id.unwrap_or_default();
@@ -231,17 +232,17 @@
     }
 }
 
-fn from_answer(answer: Answer) -> CallerAnswer {
+fn from_answer(answer: Answer) -> QueryAnswer {
     match answer.body {
         Ok(body) => match body.rows {
-            AnswerRows::Whole(whole) => CallerAnswer::Whole(whole),
-            AnswerRows::Records(records) => CallerAnswer::Records {
+            AnswerRows::Whole(whole) => QueryAnswer::Whole(whole),
+            AnswerRows::Records(records) => QueryAnswer::Records {
                 body: records,
                 signatures: body.signatures,
                 services: body.services,
                 missing: body.missing,
             },
-            AnswerRows::Json(rows) => CallerAnswer::Records {
+            AnswerRows::Json(rows) => QueryAnswer::Records {
                 body: rows.get().as_bytes().to_vec(),
                 signatures: body.signatures,
                 services: body.services,
@@ -252,26 +253,26 @@
     }
 }
 
-fn from_failure(failure: Failure) -> CallerAnswer {
+fn from_failure(failure: Failure) -> QueryAnswer {
     if failure.not_run {
         let earliest = failure.retry_after.unwrap_or_default();
-        return CallerAnswer::not_run_until(earliest, "no leaf could take the request");
+        return QueryAnswer::not_run_until(earliest, "no leaf could take the request");
     }
     match (failure.reply, failure.reason) {
-        (Some(reply), _) => CallerAnswer::Whole(reply),
-        (None, Reason::Deadline) => CallerAnswer::Late,
-        (None, Reason::Coverage) => CallerAnswer::Failed,
+        (Some(reply), _) => QueryAnswer::Whole(reply),
+        (None, Reason::Deadline) => QueryAnswer::Late,
+        (None, Reason::Coverage) => QueryAnswer::Failed,
     }
 }
 
-fn from_refusal(refusal: &Refusal) -> CallerAnswer {
+fn from_refusal(refusal: &Refusal) -> QueryAnswer {
     match refusal {
-        Refusal::UnknownKind(_) => CallerAnswer::NotFound,
-        Refusal::Contended { retry_after, .. } => CallerAnswer::NotRun {
+        Refusal::UnknownKind(_) => QueryAnswer::UnknownKind,
+        Refusal::Contended { retry_after, .. } => QueryAnswer::NotRun {
             retry_after: *retry_after,
             reason: refusal.to_string(),
         },
-        _ => CallerAnswer::not_run(refusal.to_string()),
+        _ => QueryAnswer::not_run_until(Duration::ZERO, refusal.to_string()),
     }
 }
 
--- a/crates/guavacourse/src/edge/gateway/trials.rs
+++ b/crates/guavacourse/src/edge/gateway/trials.rs
@@ -10,7 +10,7 @@
     channel::{self, Receiver, Sender},
 };
 
-use super::{protocol::CallerAnswer, serve::Traffic};
+use super::{query_answer::QueryAnswer, serve::Traffic};
 use crate::modules::{
     query::QueryRequest,
     trial_claims::{ClaimEnd, Permission, TrialClaims},
@@ -127,8 +127,8 @@
 
 impl OpenTrial<'_> {
     /// Ends the trial. If the request reached no leaf, another process may try.
-    pub(super) fn finish(mut self, answer: &CallerAnswer) {
-        if !matches!(answer, CallerAnswer::NotRun { .. }) {
+    pub(super) fn finish(mut self, answer: &QueryAnswer) {
+        if !matches!(answer, QueryAnswer::NotRun { .. }) {
             return;
         }
         self.end = ClaimEnd::Fruitless;
--- a/crates/guavacourse/src/modules/delegation.rs
+++ b/crates/guavacourse/src/modules/delegation.rs
@@ -84,9 +84,10 @@
     }
 
     /// Returns the peer in the same data centre that runs a query of a kind, or `None`
-    /// if this process runs it itself. A process that has just started may not know
-    /// the leaves of the kind yet; it delegates whatever may be repeated. A query that may
-    /// not be served in this region goes to a peer in one where it may.
+    /// if this process runs it itself. A request that goes to one of several services is
+    /// no query over many shards. A process that has just started may not know the leaves
+    /// of the kind yet; it delegates whatever may be repeated. A query that may not be
+    /// served in this region goes to a peer in one where it may.
     pub fn peer_for_query(
         &mut self,
         view: &Arc<View>,
@@ -94,7 +95,7 @@
         regions: &AllowedRegions,
         now: Time,
     ) -> Option<Address> {
-        let wide = kind.rules.services.len() >= MIN_SHARDS;
+        let wide = !kind.rules.is_split() && kind.rules.services.len() >= MIN_SHARDS;
         let leaves_unknown = kind.shards.is_empty() && kind.rules.class == Class::Query;
         if !wide && !leaves_unknown {
             return None;
--- a/crates/guavacourse/src/modules/inventory.rs
+++ b/crates/guavacourse/src/modules/inventory.rs
@@ -179,6 +179,15 @@
     pub forward: Option<Forward>,
 }
 
+impl Kind {
+    /// Returns whether each request goes to one of the services, by their weights.
+    #[must_use]
+    pub fn is_split(&self) -> bool {
+        let forward = self.forward.as_ref();
+        forward.is_some_and(|forward| !forward.weights.is_empty())
+    }
+}
+
 impl Default for Kind {
     fn default() -> Self {
         Self {
--- a/crates/guavacourse/tests/delegation.rs
+++ b/crates/guavacourse/tests/delegation.rs
@@ -6,7 +6,7 @@
     catalog::Catalog,
     customers::AllowedRegions,
     delegation::Delegation,
-    inventory::{Address, Class, Config, Kind, Leaf, Service},
+    inventory::{Address, Class, Config, Forward, Kind, Leaf, Service},
     keys::KEY_SPACE,
     members::Member,
     time::Time,
@@ -32,6 +32,17 @@
     }
 }
 
+/// Returns a kind whose requests go to one of eight services.
+fn split(name: &str, class: Class) -> Kind {
+    Kind {
+        forward: Some(Forward {
+            weights: vec![1.0; 8],
+            ..Forward::default()
+        }),
+        ..kind(name, class, 8)
+    }
+}
+
 fn service_name(number: usize) -> String {
     format!("s{number}")
 }
@@ -53,6 +64,8 @@
             kind("wide", Class::Query, 8),
             kind("one", Class::Query, 1),
             kind("act", Class::Action, 1),
+            split("split", Class::Query),
+            split("book", Class::Action),
         ],
         ..Config::default()
     };
@@ -90,3 +103,14 @@
     assert!(!delegates(&weak, &view(0), "act"));
     assert!(!delegates(&weak, &view(1), "one"));
 }
+
+// Guards against requests to a single leaf that a peer is asked to run: it saves no work,
+// and actions lose what is known of them with the peer.
+#[test]
+fn a_request_to_one_of_many_services_is_run_here() {
+    let weak = member("weak", 120);
+    assert!(!delegates(&weak, &view(8), "split"));
+    for known in [0, 8] {
+        assert!(!delegates(&weak, &view(known), "book"));
+    }
+}
