--- a/crates/daemons/src/load/client.rs
+++ b/crates/daemons/src/load/client.rs
@@ -185,7 +185,9 @@
                 Err(ExchangeError::Unreachable(_)) => target.lost.set(true),
                 Err(ExchangeError::Timeout) => return Err(Failure::Timeout),
                 Err(ExchangeError::Closed(_)) => return Err(Failure::Closed),
-                Err(ExchangeError::Malformed(_)) => return Err(Failure::Malformed),
+                Err(ExchangeError::Malformed(_) | ExchangeError::TooLarge(_)) => {
+                    return Err(Failure::Malformed);
+                }
             }
         }
         Err(Failure::Unreachable)
--- a/crates/guavacourse/src/edge/gateway/follow.rs
+++ b/crates/guavacourse/src/edge/gateway/follow.rs
@@ -43,7 +43,7 @@
     },
     modules::{
         crash_evidence::{CrashReport, Finding},
-        directory::{Change, Directory, ListReading, RegistryReading},
+        directory::{Change, Directory, Extent, ListReading, RegistryReading},
         era::Position,
         inventory::Address,
         journal::Journal,
@@ -64,6 +64,10 @@
 /// Interval between readings of a list that does not end.
 const RELIST_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Pause between such readings as a multiple of the time that one takes, and its limit.
+const RELIST_FACTOR: u32 = 10;
+const MAX_RELIST_INTERVAL: Duration = Duration::from_secs(30);
+
 /// Delay before the sources are asked again if none was up to date.
 const SOURCE_RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -156,6 +160,9 @@
     /// When this process lost the registry and began to depend on peers; `None` if it
     /// reads the registry, or follows a process that does so for its data centre.
     cut_off: Cell<Option<Time>>,
+    /// Whether all that this process knows comes from a list that was cut, so that leaves
+    /// may be missing.
+    incomplete: Cell<bool>,
     /// When this process first knew the configuration and the fleet, without all
     /// leaves; `None` if it never did.
     fleet_known: Cell<Option<Time>>,
@@ -173,14 +180,20 @@
 
 impl ReadState {
     /// Records whether the list that was read at `now` holds the whole registry.
-    fn record_list(&mut self, whole: bool, now: Time) {
+    fn record_list(&mut self, extent: Extent, started: Time, now: Time) {
+        let whole = extent == Extent::Whole;
+        let pause = now.since(started) * RELIST_FACTOR;
+        let pause = pause.clamp(RELIST_INTERVAL, MAX_RELIST_INTERVAL);
         if !whole && self.list_again.is_none() {
             tracing::warn!(
-                "the list of the registry does not end; what was read is used, and it is read \
-                 again every {RELIST_INTERVAL:?}; look for a fault of the store"
+                ?extent,
+                ?pause,
+                "the list of the registry has no end or no configuration; what was read is used, \
+                 and it is read again after a pause; look for a fault of the store, and for \
+                 entries of others"
             );
         }
-        self.list_again = (!whole).then(|| now.after(RELIST_INTERVAL));
+        self.list_again = (!whole).then(|| now.after(pause));
     }
 }
 
@@ -201,6 +214,7 @@
             restored: Restored::default(),
             fresh_at: Cell::new(None),
             cut_off: Cell::new(None),
+            incomplete: Cell::new(false),
             fleet_known: Cell::new(None),
             setup,
             registry,
@@ -237,8 +251,8 @@
         match self.registry.read_first().await {
             Ok(ListReading {
                 mut reading,
-                whole: true,
-            }) => {
+                extent: Extent::Whole,
+            }) if self.is_configured(&reading) => {
                 let position = self.position_of(&reading);
                 state.after = Some(position);
                 self.add_newer_version(&mut reading).await;
@@ -292,7 +306,7 @@
                 let read = self.registry.watch(after, wait).await;
                 read.map(|reading| ListReading {
                     reading,
-                    whole: false,
+                    extent: Extent::Part,
                 })
             }
         };
@@ -303,14 +317,24 @@
                 state.after = None;
                 self.end_cut_off();
             }
-            Ok(ListReading { mut reading, whole }) => {
+            Ok(ListReading {
+                mut reading,
+                extent,
+            }) => {
                 state.backoff.reset();
                 self.end_cut_off();
                 let position = self.position_of(&reading);
                 let changed = !reading.changes.is_empty();
                 state.after = state.after.max(Some(position));
+                // A list without a configuration is not believed: a registry that has just
+                // come back may have left out a part.
+                let configured = self.is_configured(&reading);
+                let extent = if configured { extent } else { Extent::Part };
                 if lists {
-                    state.record_list(whole, started);
+                    state.record_list(extent, started, self.setup.clock.now());
+                    if extent == Extent::Cut && self.fresh_at.get().is_none() {
+                        self.incomplete.set(true);
+                    }
                 }
                 // Changes made during a reading of several pages may be missing from it.
                 let fresh_at = if lists {
@@ -321,16 +345,16 @@
                 if known == Position::default() {
                     self.add_newer_version(&mut reading).await;
                 }
+                let whole = extent == Extent::Whole;
                 self.apply_reading(reading, position, whole, fresh_at);
                 if changed {
                     Timer::after(BATCH_DELAY).await;
                 }
             }
-            Err(RegistryError::Compacted) => {
-                tracing::info!(
-                    after = ?state.after,
-                    "the registry no longer holds these changes; all of it is read again"
-                );
+            Err(error @ (RegistryError::Compacted | RegistryError::TooLarge))
+                if state.after.is_some() =>
+            {
+                tracing::info!(after = ?state.after, "{error}");
                 state.after = None;
             }
             Err(error @ RegistryError::Restored) => {
@@ -342,6 +366,12 @@
         }
     }
 
+    /// Returns whether a configuration is known, or comes with a reading.
+    fn is_configured(&self, reading: &RegistryReading) -> bool {
+        let mut changes = reading.changes.iter();
+        self.directory.borrow().version() > 0 || changes.any(|change| change.version() > 0)
+    }
+
     /// Returns whether peers brought this process past a reading while it was made, so
     /// that the reading is older than what is known.
     fn was_overtaken(&self, before: Position, reading: Position) -> bool {
@@ -396,7 +426,8 @@
         self.fresh_at.set(self.fresh_at.get().max(Some(fresh_at)));
         self.setup.freshness.record(fresh_at);
         if whole {
-            self.update(|directory, now| directory.replace(reading, now));
+            let completed = self.incomplete.take();
+            self.update(|directory, now| directory.replace(reading, now) | completed);
         } else {
             self.apply_changes(reading.changes);
         }
@@ -520,6 +551,7 @@
             trials: directory.crashes().trials(),
             suspected: directory.crashes().suspected(),
             shares: directory.shares(),
+            incomplete: self.incomplete.get(),
             ..View::default()
         });
     }
--- a/crates/guavacourse/src/edge/gateway/registry.rs
+++ b/crates/guavacourse/src/edge/gateway/registry.rs
@@ -16,6 +16,9 @@
     /// The registry no longer holds the changes since the requested revision.
     #[error("the registry no longer holds the requested changes; all of it is read again")]
     Compacted,
+    /// The answer is too large to be received.
+    #[error("the registry's answer is too large; all of the registry is read again in pages")]
+    TooLarge,
     /// The registry has entered another era since the position that the call names, or
     /// the answer is of an earlier era.
     #[error("the registry was restored from an older copy; all of it is read again")]
--- a/crates/guavacourse/src/edge/gateway/serve.rs
+++ b/crates/guavacourse/src/edge/gateway/serve.rs
@@ -407,7 +407,8 @@
     seat: Seat,
 ) -> std::io::Result<()> {
     let handler = |request: Request| {
-        let ready = traffic.view.load().ready() && !traffic.stopping.leaving();
+        let view = traffic.view.load();
+        let ready = view.ready() && !view.incomplete && !traffic.stopping.leaving();
         let known = traffic.callers.is_readiness_path(request.url().path());
         let status = match (known, ready) {
             (true, true) => 200,
--- a/crates/guavacourse/src/edge/http/client.rs
+++ b/crates/guavacourse/src/edge/http/client.rs
@@ -44,6 +44,9 @@
     /// The response violated the protocol.
     #[error("the response broke HTTP/1.1: {0}")]
     Malformed(String),
+    /// The body of the response is over the limit: the server has seen the request.
+    #[error("the response is too large: {0}")]
+    TooLarge(String),
     /// No response in time: the server may have seen the request.
     #[error("no response in time")]
     Timeout,
@@ -258,6 +261,7 @@
         MessageError::ClosedIdle | MessageError::Truncated => {
             ExchangeError::Closed(io::ErrorKind::UnexpectedEof.into())
         }
+        error @ MessageError::BodyTooLong(..) => ExchangeError::TooLarge(error.to_string()),
         other => ExchangeError::Malformed(other.to_string()),
     }
 }
--- a/crates/guavacourse/src/edge/relay/protocol.rs
+++ b/crates/guavacourse/src/edge/relay/protocol.rs
@@ -92,7 +92,9 @@
         }
         Err(ExchangeError::Unreachable(_)) => Ending::Unreachable,
         Err(ExchangeError::Closed(_)) => Ending::Lost(Unknown::Closed),
-        Err(ExchangeError::Malformed(_)) => Ending::Lost(Unknown::Malformed),
+        Err(ExchangeError::Malformed(_) | ExchangeError::TooLarge(_)) => {
+            Ending::Lost(Unknown::Malformed)
+        }
         Err(ExchangeError::Timeout) => Ending::Lost(Unknown::Timeout),
     };
     ending.into()
--- a/crates/guavacourse/src/modules/directory.rs
+++ b/crates/guavacourse/src/modules/directory.rs
@@ -13,7 +13,7 @@
 use std::{sync::Arc, time::Duration};
 
 pub use self::records::{
-    Change, Deployment, DirectoryEvent, LeafRecord, ListReading, RegistryReading,
+    Change, Deployment, DirectoryEvent, Extent, LeafRecord, ListReading, RegistryReading,
 };
 use self::{fleet::Fleet, unreadable::UnreadableEntries};
 use super::{
--- a/crates/guavacourse/src/modules/directory/records.rs
+++ b/crates/guavacourse/src/modules/directory/records.rs
@@ -145,8 +145,20 @@
 pub struct ListReading {
     /// The whole content, or the part of it that was listed.
     pub reading: RegistryReading,
-    /// Whether it holds the whole registry.
-    pub whole: bool,
+    /// How much of the registry it holds.
+    pub extent: Extent,
+}
+
+/// How much of the registry a list holds.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Extent {
+    /// Only a part was wanted, or the list does not move on.
+    #[default]
+    Part,
+    /// All of it.
+    Whole,
+    /// The list is too long to be read to its end.
+    Cut,
 }
 
 /// An event in the directory, for the log of the process.
--- a/crates/guavacourse/src/modules/view.rs
+++ b/crates/guavacourse/src/modules/view.rs
@@ -42,6 +42,8 @@
     pub suspected: Set<u64>,
     /// Shares of the fleet's extra calls that this process may use.
     pub shares: Shares,
+    /// Whether leaves may be missing, because the list of them could not be read whole.
+    pub incomplete: bool,
     /// Number of lower or conflicting revisions that were offered and refused.
     pub refused: u64,
 }
