--- a/crates/guavacourse/src/modules/directory.rs
+++ b/crates/guavacourse/src/modules/directory.rs
@@ -6,6 +6,7 @@
 //! whose entry is missing after an outage of the registry is kept for a while,
 //! because it may be alive and register again.
 
+mod crashes;
 mod fleet;
 mod records;
 mod unreadable;
@@ -19,7 +20,7 @@
 use super::{
     catalog::{Catalog, LeafId},
     collections::{Map, Set},
-    crash_evidence::{CrashEvidence, CrashReport, CrashedLeaf},
+    crash_evidence::CrashEvidence,
     delegation::MIN_SHARDS,
     inventory::{Config, DataCentre, Format, Leaf, LeafState, Service},
     keys::KEY_SPACE,
@@ -595,44 +596,6 @@
         new
     }
 
-    /// Records a crash of a leaf. Returns whether it is new.
-    fn record_crash(&mut self, report: CrashReport, now: Time) -> bool {
-        let content = report.content;
-        let known = self.crashes.is_quarantined(content);
-        if !self.crashes.add(report.clone(), now) {
-            return false;
-        }
-        self.changes.push(Change::Crashed(report));
-        if !known && self.crashes.is_quarantined(content) {
-            let leaves = self.crashes.leaves(content);
-            self.events
-                .push(DirectoryEvent::Quarantined { content, leaves });
-        }
-        true
-    }
-
-    /// Forgets a crash of a leaf. Returns whether it was known.
-    fn forget_crash(&mut self, content: u64, leaf: CrashedLeaf) -> bool {
-        let known = self.crashes.remove(content, &leaf);
-        if known {
-            self.changes.push(Change::CrashGone { content, leaf });
-        }
-        known
-    }
-
-    /// Withdraws the report of a crash. Returns whether it was known.
-    fn withdraw_crash(&mut self, content: u64, leaf: CrashedLeaf) -> bool {
-        let quarantined = self.crashes.is_quarantined(content);
-        let known = self.crashes.withdraw(content, &leaf);
-        if known {
-            self.changes.push(Change::CrashWithdrawn { content, leaf });
-        }
-        if quarantined && !self.crashes.is_quarantined(content) {
-            self.events.push(DirectoryEvent::Released { content });
-        }
-        known
-    }
-
     fn remove_leaf(&mut self, name: &str) {
         if let Some(held) = self.leaves.remove(name) {
             let leaf = name.to_owned();
