refactor(gateway): list what a query ends with once

`CallerAnswer` now holds a `QueryAnswer`, and adds only what a query does not end with. No change in behaviour.

--- a/crates/guavacourse/src/edge/gateway/mod.rs
+++ b/crates/guavacourse/src/edge/gateway/mod.rs
@@ -38,6 +38,7 @@
 
 pub use self::{
     protocol::{CallerAnswer, CallerProtocol, CallerRequest},
+    query_answer::QueryAnswer,
     registry::{Registry, RegistryError},
 };
 use super::{
--- a/crates/guavacourse/src/edge/gateway/protocol.rs
+++ b/crates/guavacourse/src/edge/gateway/protocol.rs
@@ -4,19 +4,12 @@
 
 use http_types::{Request, Response};
 
+use super::query_answer::QueryAnswer;
 use crate::modules::{
-    answer::ForwardedReply,
     call::ForwardedRequest,
     customers::{Credential, Denial},
 };
 
-/// Minimum delay before a request that found no capacity may be repeated: about the
-/// duration of a few calls.
-const MIN_RETRY_DELAY: Duration = Duration::from_millis(40);
-
-/// Time over which the retries of refused requests are spread.
-const RETRY_JITTER: Duration = Duration::from_millis(160);
-
 /// A caller's request.
 #[derive(Clone, Debug, Default)]
 pub struct CallerRequest {
@@ -40,32 +33,12 @@
 /// An answer to a caller.
 #[derive(Clone, Debug, PartialEq)]
 pub enum CallerAnswer {
-    /// Records of several shards.
-    Records {
-        /// The records.
-        body: Vec<u8>,
-        /// Signatures of the parts that they were taken from.
-        signatures: Vec<String>,
-        /// Services of the parts, by their position among those of the kind.
-        services: Vec<u16>,
-        /// Shards that are left out.
-        missing: usize,
-    },
-    /// The reply of one leaf.
-    Whole(ForwardedReply),
+    /// What a query ended with.
+    Query(QueryAnswer),
     /// The request is invalid; the text names what to change.
     Invalid(String),
-    /// No kind matches the request.
-    NotFound,
     /// The request has no key that a customer holds.
     Unauthorized(Denial),
-    /// The request has not run and never will.
-    NotRun {
-        /// Delay after which it may be repeated.
-        retry_after: Duration,
-        /// Why the request has not run.
-        reason: String,
-    },
     /// The customer's quota is used up. The request has not run and never will.
     OverQuota {
         /// Delay after which it may be repeated.
@@ -73,31 +46,12 @@
         /// Why the request has not run.
         reason: String,
     },
-    /// The deadline has passed; the request may have run.
-    Late,
-    /// The leaves failed; the request may have run.
-    Failed,
 }
 
 impl CallerAnswer {
     /// Returns the answer to a request that has not run, with a random retry delay.
     pub(super) fn not_run(reason: impl Into<String>) -> Self {
-        Self::not_run_until(Duration::ZERO, reason)
-    }
-
-    /// Returns the answer to a request that has not run and that leaves take after
-    /// `earliest`, with a random retry delay from then on.
-    pub(super) fn not_run_until(earliest: Duration, reason: impl Into<String>) -> Self {
-        Self::NotRun {
-            retry_after: Self::retry_delay(earliest),
-            reason: reason.into(),
-        }
-    }
-
-    /// Returns the delay after which a request that leaves take after `earliest` may be
-    /// repeated, with jitter.
-    pub(super) fn retry_delay(earliest: Duration) -> Duration {
-        earliest.max(MIN_RETRY_DELAY) + RETRY_JITTER.mul_f64(fastrand::f64())
+        Self::Query(QueryAnswer::not_run(reason))
     }
 }
 
--- a/crates/guavacourse/src/edge/gateway/query_answer.rs
+++ b/crates/guavacourse/src/edge/gateway/query_answer.rs
@@ -2,13 +2,19 @@
 
 use std::time::Duration;
 
-use super::protocol::CallerAnswer;
 use crate::modules::answer::ForwardedReply;
 
+/// Minimum delay before a request that found no capacity may be repeated: about the
+/// duration of a few calls.
+const MIN_RETRY_DELAY: Duration = Duration::from_millis(40);
+
+/// Time over which the retries of refused requests are spread.
+const RETRY_JITTER: Duration = Duration::from_millis(160);
+
 /// The end of a query. Every case has a form between processes, so that a caller gets the
 /// same answer whichever process ran the query.
 #[derive(Clone, Debug, PartialEq)]
-pub(super) enum QueryAnswer {
+pub enum QueryAnswer {
     /// Records of several shards.
     Records {
         /// The records.
@@ -29,7 +35,7 @@
         /// Why it has not run.
         reason: String,
     },
-    /// The configuration in force has no such kind any more; the query has not run.
+    /// The configuration in force has no kind for the query, which has not run.
     UnknownKind,
     /// The deadline has passed; the query may have run.
     Late,
@@ -38,41 +44,17 @@
 }
 
 impl QueryAnswer {
+    /// Returns the answer to a query that has not run, with a random retry delay.
+    pub(super) fn not_run(reason: impl Into<String>) -> Self {
+        Self::not_run_until(Duration::ZERO, reason)
+    }
+
     /// Returns the answer to a query that has not run and that leaves take after
     /// `earliest`, with a random retry delay from then on.
     pub(super) fn not_run_until(earliest: Duration, reason: impl Into<String>) -> Self {
         Self::NotRun {
-            retry_after: CallerAnswer::retry_delay(earliest),
+            retry_after: earliest.max(MIN_RETRY_DELAY) + RETRY_JITTER.mul_f64(fastrand::f64()),
             reason: reason.into(),
         }
     }
 }
-
-impl From<QueryAnswer> for CallerAnswer {
-    fn from(answer: QueryAnswer) -> Self {
-        match answer {
-            QueryAnswer::Records {
-                body,
-                signatures,
-                services,
-                missing,
-            } => Self::Records {
-                body,
-                signatures,
-                services,
-                missing,
-            },
-            QueryAnswer::Whole(reply) => Self::Whole(reply),
-            QueryAnswer::NotRun {
-                retry_after,
-                reason,
-            } => Self::NotRun {
-                retry_after,
-                reason,
-            },
-            QueryAnswer::UnknownKind => Self::NotFound,
-            QueryAnswer::Late => Self::Late,
-            QueryAnswer::Failed => Self::Failed,
-        }
-    }
-}
--- a/crates/guavacourse/src/edge/gateway/requests.rs
+++ b/crates/guavacourse/src/edge/gateway/requests.rs
@@ -48,13 +48,13 @@
     let started = traffic.clock.now();
     let view = traffic.view.load();
     if !view.ready() {
-        return CallerAnswer::NotRun {
+        return CallerAnswer::Query(QueryAnswer::NotRun {
             retry_after: MIN_UNREADY_DELAY + UNREADY_JITTER.mul_f64(fastrand::f64()),
             reason: "no configuration is in force here yet".to_owned(),
-        };
+        });
     }
     let Some(kind) = view.catalog.forward_kind(&incoming.host, &incoming.path) else {
-        return CallerAnswer::NotFound;
+        return CallerAnswer::Query(QueryAnswer::UnknownKind);
     };
     let customer = match identify(traffic, &view, kind, &mut incoming) {
         Ok(customer) => customer,
@@ -92,18 +92,19 @@
     };
     let run = async {
         match delegate(traffic, &view, request).await {
-            Ok(answer) => answer.into(),
-            Err(request) => run_locally(traffic, request).await.into(),
+            Ok(answer) => answer,
+            Err(request) => run_locally(traffic, request).await,
         }
     };
     let expired = async {
         traffic.stopping.wait_expired().await;
-        CallerAnswer::Late
+        QueryAnswer::Late
     };
     let answer = run.or(expired).await;
-    if let (Some(customer), CallerAnswer::NotRun { .. }) = (&customer, &answer) {
+    if let (Some(customer), QueryAnswer::NotRun { .. }) = (&customer, &answer) {
         traffic.exchange.refund(customer);
     }
+    let answer = CallerAnswer::Query(answer);
     let elapsed = traffic.clock.now().since(started);
     traffic
         .entry_metrics
@@ -272,20 +273,27 @@
             retry_after: *retry_after,
             reason: refusal.to_string(),
         },
-        _ => QueryAnswer::not_run_until(Duration::ZERO, refusal.to_string()),
+        _ => QueryAnswer::not_run(refusal.to_string()),
     }
 }
 
 /// Returns the metrics label of an answer.
 fn result_label(answer: &CallerAnswer) -> &'static str {
     match answer {
-        CallerAnswer::Records { missing: 0, .. } | CallerAnswer::Whole(_) => "served",
-        CallerAnswer::Records { .. } => "partial",
-        CallerAnswer::Invalid(_) | CallerAnswer::NotFound => "invalid",
+        CallerAnswer::Query(answer) => query_label(answer),
+        CallerAnswer::Invalid(_) => "invalid",
         CallerAnswer::Unauthorized(_) => "unauthorized",
-        CallerAnswer::NotRun { .. } => "not-run",
         CallerAnswer::OverQuota { .. } => "over-quota",
-        CallerAnswer::Late => "late",
-        CallerAnswer::Failed => "failed",
+    }
+}
+
+fn query_label(answer: &QueryAnswer) -> &'static str {
+    match answer {
+        QueryAnswer::Records { missing: 0, .. } | QueryAnswer::Whole(_) => "served",
+        QueryAnswer::Records { .. } => "partial",
+        QueryAnswer::UnknownKind => "invalid",
+        QueryAnswer::NotRun { .. } => "not-run",
+        QueryAnswer::Late => "late",
+        QueryAnswer::Failed => "failed",
     }
 }
