refactor(registry): count what a list leaves out in one place

`Listing` counted unreadable items again as `PartialList` does, whose `append` no caller was left for. No change in behaviour.

--- a/crates/guavacourse/src/modules/partial_list.rs
+++ b/crates/guavacourse/src/modules/partial_list.rs
@@ -45,20 +45,16 @@
         }
     }
 
-    /// Adds the items of another list.
-    pub fn append(&mut self, other: Self) {
-        self.items.extend(other.items);
+    /// Counts items that are left out, of which the first has this fault.
+    pub fn count_unreadable(&mut self, count: u32, fault: &str) {
         if self.unreadable == 0 {
-            self.fault = other.fault;
+            excerpt(fault).clone_into(&mut self.fault);
         }
-        self.unreadable += other.unreadable;
+        self.unreadable += count;
     }
 
     fn leave_out(&mut self, fault: &str) {
-        if self.unreadable == 0 {
-            excerpt(fault).clone_into(&mut self.fault);
-        }
-        self.unreadable += 1;
+        self.count_unreadable(1, fault);
     }
 }
 
