refactor(quarantine): schedule trials in one way, and name crashed leaves in one place

`CrashEvidence::add` had two branches that scheduled the next trial from the number of failed ones; both take it from the reports now. Two reports built the name of a leaf alike. No change in behaviour.

--- a/crates/guavacourse/src/edge/gateway/follow.rs
+++ b/crates/guavacourse/src/edge/gateway/follow.rs
@@ -61,7 +61,7 @@
 /// Interval between renewals of the registration: a third of its lease.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(4);
 
-/// Interval between readings of a list that does not end.
+/// Minimum pause between readings of a list that does not end.
 const RELIST_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Pause between such readings as a multiple of the time that one takes, and its limit.
@@ -179,7 +179,7 @@
 }
 
 impl ReadState {
-    /// Records whether the list that was read at `now` holds the whole registry.
+    /// Records how much of the registry a list holds whose reading began at `started`.
     fn record_list(&mut self, extent: Extent, started: Time, now: Time) {
         let whole = extent == Extent::Whole;
         let pause = now.since(started) * RELIST_FACTOR;
--- a/crates/guavacourse/src/edge/gateway/follow/findings.rs
+++ b/crates/guavacourse/src/edge/gateway/follow/findings.rs
@@ -46,7 +46,7 @@
                 self.write(|| self.registry.report_crashes(&reports)).await;
             }
             for content in batch.iter().filter_map(completed) {
-                self.retract(content).await;
+                self.withdraw(content).await;
             }
         }
     }
@@ -59,8 +59,8 @@
         reported.drain(..surplus);
     }
 
-    /// Removes the reports against content that proved harmless.
-    async fn retract(&self, content: u64) {
+    /// Withdraws the reports against content that proved harmless.
+    async fn withdraw(&self, content: u64) {
         let leaves = self.directory.borrow().crashes().leaves(content);
         let quarantined = self.directory.borrow().crashes().is_quarantined(content);
         tracing::info!(content, ?leaves, "suspected request content is harmless");
--- a/crates/guavacourse/src/edge/gateway/follow/restored.rs
+++ b/crates/guavacourse/src/edge/gateway/follow/restored.rs
@@ -51,7 +51,7 @@
 
 impl<R: Registry> Follower<R> {
     /// Writes the crashes that this process reported again after each restore, except
-    /// those that were retracted.
+    /// those that were withdrawn.
     pub(super) async fn repeat_reports(&self) {
         while self.restored.reports.1.recv().await.is_ok() {
             let known: Vec<CrashReport> = {
--- a/crates/guavacourse/src/modules/admission/findings.rs
+++ b/crates/guavacourse/src/modules/admission/findings.rs
@@ -44,13 +44,9 @@
     /// Reports the crash of a leaf with these calls in flight: at once those that ran
     /// alone, the others after a delay, unless another leaf runs them meanwhile.
     pub(super) fn report_crash(&mut self, leaf: LeafId, calls: &[DroppedCall], now: Time) {
-        let Some(gate) = self.gates.get(&leaf) else {
+        let Some(crashed) = self.crashed_leaf(leaf) else {
             return;
         };
-        let crashed = CrashedLeaf {
-            name: gate.name.clone(),
-            born: self.listed_incarnation(leaf),
-        };
         for dropped in calls.iter().filter(|call| call.reported) {
             let report = CrashReport {
                 content: dropped.call.fingerprint,
@@ -69,15 +65,12 @@
 
     /// Reports a trial that its leaf may have begun and did not answer.
     pub(super) fn report_failed_trial(&mut self, job: &Job) {
-        let Some(gate) = self.gates.get(&job.call.leaf) else {
+        let Some(leaf) = self.crashed_leaf(job.call.leaf) else {
             return;
         };
         let report = CrashReport {
             content: job.part.fingerprint,
-            leaf: CrashedLeaf {
-                name: gate.name.clone(),
-                born: self.listed_incarnation(job.call.leaf),
-            },
+            leaf,
             alone: true,
             trial: job.part.trial,
         };
@@ -97,9 +90,13 @@
         }
     }
 
-    fn listed_incarnation(&self, leaf: LeafId) -> u64 {
+    /// Returns a leaf as it is named in reports.
+    fn crashed_leaf(&self, leaf: LeafId) -> Option<CrashedLeaf> {
         let listed = self.view.incarnations.get(&leaf);
-        listed.copied().unwrap_or_default()
+        Some(CrashedLeaf {
+            name: self.name(leaf)?.to_owned(),
+            born: listed.copied().unwrap_or_default(),
+        })
     }
 
     /// Makes the reports that are due.
--- a/crates/guavacourse/src/modules/crash_evidence.rs
+++ b/crates/guavacourse/src/modules/crash_evidence.rs
@@ -123,14 +123,12 @@
         if known == Some(&report) || (full && report.trial == 0) {
             return false;
         }
-        let failed = report.trial;
+        let decides = reports
+            .trial
+            .is_none_or(|trial| report.trial >= trial.number);
         reports.crashes.insert(report.leaf.clone(), report);
-        let number = reports.trial.map_or(0, |trial| trial.number);
-        if reports.trial.is_some() && failed >= number {
-            reports.schedule(failed, now);
-        } else if reports.trial.is_none() && reports.proved() {
-            let failed = reports.crashes.values().map(|report| report.trial).max();
-            reports.schedule(failed.unwrap_or_default(), now);
+        if decides && reports.proved() {
+            reports.schedule_trial(now);
         }
         true
     }
@@ -242,8 +240,10 @@
         alone || self.crashes.len() >= CRASHES_TO_QUARANTINE
     }
 
-    /// Schedules the trial that follows this number of failed ones.
-    fn schedule(&mut self, failed: u32, now: Time) {
+    /// Schedules the trial that follows those that failed.
+    fn schedule_trial(&mut self, now: Time) {
+        let failed = self.crashes.values().map(|report| report.trial).max();
+        let failed = failed.unwrap_or_default();
         let factor = TRIAL_DELAY_FACTOR.saturating_pow(failed);
         let delay = FIRST_TRIAL_DELAY.saturating_mul(factor);
         self.trial = Some(Trial {
