--- a/crates/guavacourse/src/edge/gateway/trials.rs
+++ b/crates/guavacourse/src/edge/gateway/trials.rs
@@ -113,7 +113,6 @@
         end: ClaimEnd::Fruitless,
     };
     if !traffic.trials.claim(content).await {
-        drop(open);
         return Admitted::Refused(CLAIM_TIMEOUT);
     }
     open.end = ClaimEnd::Decided;
--- a/crates/guavacourse/src/modules/admission/findings.rs
+++ b/crates/guavacourse/src/modules/admission/findings.rs
@@ -85,7 +85,7 @@
             .retain(|(_, report)| report.content != content);
         let suspected = is_suspected(&self.view, content);
         let new = suspected && self.findings.completed.insert(content);
-        if new || job.part.trial > 0 {
+        if new || job.part.is_trial() {
             self.steps.push(Step::Report(Finding::Completed(content)));
         }
     }
--- a/crates/guavacourse/src/modules/admission/outcome.rs
+++ b/crates/guavacourse/src/modules/admission/outcome.rs
@@ -294,7 +294,7 @@
         gate.dropped_calls.push(DroppedCall {
             call,
             forwarded,
-            reported: forwarded && job.part.trial == 0,
+            reported: forwarded && !job.part.is_trial(),
             suspect: !forwarded || !self.cleared.contains(call.fingerprint, now),
             at: now,
             reply: None,
@@ -366,7 +366,7 @@
             return;
         }
         if !was_run(ending) {
-            if job.part.trial > 0 && matches!(ending, Ending::Lost(_)) {
+            if job.part.is_trial() && matches!(ending, Ending::Lost(_)) {
                 self.report_failed_trial(job);
             }
             return;
--- a/crates/guavacourse/src/modules/admission/queue.rs
+++ b/crates/guavacourse/src/modules/admission/queue.rs
@@ -177,7 +177,7 @@
     /// fleet.
     pub(super) fn verdict(&self, job: &Job, now: Time) -> Verdict {
         let fingerprint = job.part.fingerprint;
-        if job.part.trial > 0 {
+        if job.part.is_trial() {
             return Verdict::Alone;
         }
         if self.view.quarantined.contains(&fingerprint) {
--- a/crates/guavacourse/src/modules/call.rs
+++ b/crates/guavacourse/src/modules/call.rs
@@ -239,6 +239,14 @@
     Exhausted,
 }
 
+impl Part {
+    /// Returns whether it is the trial of quarantined content.
+    #[must_use]
+    pub fn is_trial(&self) -> bool {
+        self.trial > 0
+    }
+}
+
 impl ForwardedRequest {
     /// Returns the fingerprint of its content with this kind and body: equal in every
     /// process for all that a leaf may depend on and a repetition has in common, which
--- a/crates/guavacourse/src/modules/query.rs
+++ b/crates/guavacourse/src/modules/query.rs
@@ -77,6 +77,13 @@
         }
     }
 
+    /// Returns whether it is the trial of quarantined content, of which only one call may
+    /// reach a leaf unless that leaf answers.
+    #[must_use]
+    pub fn is_trial(&self) -> bool {
+        self.trial > 0
+    }
+
     /// Returns the fingerprint of the content, equal for a repeated request.
     #[must_use]
     pub fn fingerprint(&self) -> u64 {
@@ -211,7 +218,7 @@
             admission::start_throttled(&view, balancer, rules, &request, &params, now)?;
         }
         let mut slots = plan_slots(&view, kind, &params.services);
-        if request.trial > 0 {
+        if request.is_trial() {
             slots.iter_mut().for_each(Slot::limit_to_one_call);
         }
         let planned = slots.len().max(params.services.len());
--- a/crates/guavacourse/src/modules/query/admission.rs
+++ b/crates/guavacourse/src/modules/query/admission.rs
@@ -46,7 +46,7 @@
     if kind.rules.services.is_empty() {
         return Err(Refusal::NoServices(request.kind.clone()));
     }
-    if request.trial == 0 && view.quarantined.contains(&digest) {
+    if !request.is_trial() && view.quarantined.contains(&digest) {
         return Err(Refusal::Quarantined);
     }
     if request.deadline == Some(Duration::ZERO) {
--- a/crates/guavacourse/src/modules/query/calls.rs
+++ b/crates/guavacourse/src/modules/query/calls.rs
@@ -354,7 +354,7 @@
     }
 
     pub(super) fn build_part(&self, now: Time) -> Part {
-        let alone = self.suspicion.testing() || self.request.trial > 0;
+        let alone = self.suspicion.testing() || self.request.is_trial();
         Part {
             kind: self.request.kind.clone(),
             worth: self.params.worth,
--- a/crates/guavacourse/src/modules/query/canary.rs
+++ b/crates/guavacourse/src/modules/query/canary.rs
@@ -37,7 +37,7 @@
     pub(super) fn plan_canary(&mut self, enabled: bool, ctx: &EventContext<'_>) {
         let content = self.trace.fingerprint;
         let unknown = enabled && !ctx.balancer.cleared.contains(content, ctx.now);
-        let needed = !self.slots.is_empty() && (unknown || self.is_trial());
+        let needed = !self.slots.is_empty() && (unknown || self.request.is_trial());
         self.canary = if needed {
             Canary::Due
         } else {
@@ -69,19 +69,13 @@
         } else if ran {
             self.end_canary(ctx);
         } else if self.slots.iter().all(idle) {
-            if self.is_trial() {
+            if self.request.is_trial() {
                 return self.give_up();
             }
             self.send_canary(ctx);
         }
     }
 
-    /// Returns whether the request is the trial of quarantined content, of which only one
-    /// call may reach a leaf unless that leaf answers.
-    fn is_trial(&self) -> bool {
-        self.request.trial > 0
-    }
-
     /// Sends no further calls.
     fn give_up(&mut self) {
         self.canary = Canary::Inactive;
@@ -96,7 +90,7 @@
         let Canary::Waiting { calls, until } = self.canary else {
             return;
         };
-        if !self.suspicion.may_hedge() || until > ctx.now || self.is_trial() {
+        if !self.suspicion.may_hedge() || until > ctx.now || self.request.is_trial() {
             return;
         }
         let running = self.slots.iter().any(|slot| slot.pending > 0);
@@ -117,7 +111,9 @@
     /// runs alone.
     pub(super) fn canary_late_at(&self) -> Option<Time> {
         match self.canary {
-            Canary::Waiting { until, .. } if self.suspicion.may_hedge() && !self.is_trial() => {
+            Canary::Waiting { until, .. }
+                if self.suspicion.may_hedge() && !self.request.is_trial() =>
+            {
                 Some(until)
             }
             _ => None,
