--- a/crates/guavacourse/tests/admission/findings.rs
+++ b/crates/guavacourse/tests/admission/findings.rs
@@ -207,3 +207,25 @@
     assert_eq!(harness.admission.connections(LeafId::of("a")), [0, 0, 0]);
     assert_eq!(harness.admission.counts().crashed, 1);
 }
+
+// Guards against a call that is lost as it starts, so that its leaf and all calls with its
+// content wait for it without end.
+#[test]
+fn calls_that_wait_for_a_trial_on_one_leaf_run_one_after_the_other() {
+    let mut harness = with_trial();
+    harness.submit(&forwarded(3, "c"));
+    harness.submit(&forwarded(4, "c"));
+    harness.advance(HOLD_MILLIS + 1);
+    harness.admission.tick(harness.now);
+    assert_eq!(harness.take_steps(), "");
+    harness.end(2, &Ending::Unreachable);
+    let mut delivered = Vec::new();
+    for _ in 0..2 {
+        assert_eq!(harness.take_steps().matches("dispatch").count(), 1);
+        let attempt = if harness.is_dispatched(3) { 3 } else { 4 };
+        harness.answer(attempt);
+        delivered.push(attempt);
+    }
+    delivered.sort_unstable();
+    assert_eq!(delivered, [3, 4]);
+}
--- a/crates/guavacourse/tests/admission/harness.rs
+++ b/crates/guavacourse/tests/admission/harness.rs
@@ -203,6 +203,11 @@
         self.admission.probed(LeafId::of(leaf), false, self.now);
     }
 
+    /// Returns whether an attempt is dispatched and has not ended.
+    pub fn is_dispatched(&self, attempt: u64) -> bool {
+        self.dispatched.iter().any(|(_, id)| id.0 == attempt)
+    }
+
     /// Takes the steps that the edge must carry out; returns one line for each.
     pub fn take_steps(&mut self) -> String {
         let steps = self.admission.take_steps();
